--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -12,7 +12,7 @@
 
 bool Fleet::usable(const Machine& m) {
     bool down = !m.reported && (m.session > 0 || m.on_roster);
-    return !m.draining && !m.releasing && !m.notice_s && !down;
+    return !m.draining && !m.releasing && !m.notice_s && !m.trimming && !down;
 }
 
 std::vector<Rent> Fleet::rent(Time now, const Totals& totals, const std::vector<MachineType>& types,
@@ -104,6 +104,49 @@
     return released_.contains(name);
 }
 
+std::vector<std::string> Fleet::trim(Time now, const MachineTable& machines, const Totals& totals) {
+    double boot_s = 0;
+    for (const auto& [name, m] : machines.all()) {
+        boot_s = std::max(boot_s, m.type.boot_s);
+    }
+    if (boot_s == 0) {
+        return {};
+    }
+    double fade = std::min(1.0, (now - recent_at_) / (policy_.demand_fade_s * boot_s));
+    recent_at_ = now;
+    auto follow = [&](double& recent, double current) {
+        recent = std::max(current, recent + (current - recent) * fade);
+    };
+    follow(recent_.ordinary_cpus, totals.demand.ordinary_cpus);
+    follow(recent_.any_cpus, totals.demand.any_cpus);
+    std::vector<std::string> changes;
+    for (bool spot : {false, true}) {
+        double have = spot ? totals.spot_cpus : totals.ordinary_cpus;
+        double want =
+            spot ? recent_.any_cpus
+                 : recent_.ordinary_cpus + std::max(0.0, recent_.any_cpus - totals.spot_cpus);
+        want = want < 1 ? 0 : want * (1 + policy_.spare_share); // a fading peak is never quite 0
+        const Machine* least = nullptr;
+        for (const auto& [name, m] : machines.all()) {
+            if (m.spot != spot || !m.reported) {
+                continue;
+            }
+            if (m.trimming && have < want) {
+                have += m.type.cpus;
+                changes.push_back(name);
+            }
+            if (usable(m) && (!least || m.free_cpus() > least->free_cpus())) {
+                least = &m;
+            }
+        }
+        if (least && now >= next_trim_ && have - least->type.cpus >= want) {
+            changes.push_back(least->name);
+            next_trim_ = now + facts_.report_s / 2;
+        }
+    }
+    return changes;
+}
+
 std::vector<std::string> Fleet::surplus(Time now, const MachineTable& machines,
                                         const Totals& totals, bool may_suspect) const {
     std::vector<std::string> out;
@@ -144,14 +187,14 @@
         if (!m.empty() || m.has_foreign() || m.orders != 0) {
             continue;
         }
-        if (m.draining || m.errors >= policy_.sick_errors) {
+        if (m.draining || m.trimming || m.errors >= policy_.sick_errors) {
             out.push_back(name);
             continue;
         }
         if (now - m.idle_since > policy_.idle_return_s * m.type.boot_s) {
             double& have = m.spot ? spot : ordinary;
-            double want = m.spot ? totals.demand.any_cpus : totals.demand.ordinary_cpus;
-            if (have - m.type.cpus >= want) {
+            double want = m.spot ? recent_.any_cpus : recent_.ordinary_cpus;
+            if (have - m.type.cpus >= want - 1) {
                 have -= m.type.cpus;
                 out.push_back(name);
             }
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -29,6 +29,9 @@
     // Machines to give back: idle for long, never up, lost, or at fault.
     std::vector<std::string> surplus(Time now, const MachineTable& machines, const Totals& totals,
                                      bool may_suspect) const;
+    // Chooses machines that take no more tasks because there are more than are wanted, one at a
+    // time, and takes the choice back when there are too few.
+    std::vector<std::string> trim(Time now, const MachineTable& machines, const Totals& totals);
     // A machine that can be counted on.
     static bool usable(const Machine& machine);
     // A name that was released; the list may show it for a while yet.
@@ -55,6 +58,9 @@
     std::vector<Pending> pending_;
     std::map<std::pair<SlotKind, std::string>, Time> refused_until_;
     std::map<std::string, Time> released_;
+    Demand recent_; // the demand of late: its peaks fade over the time that a boot takes
+    Time recent_at_ = 0;
+    Time next_trim_ = 0;
 };
 
 } // namespace orchidlanding
--- a/src/core/machine_table.h
+++ b/src/core/machine_table.h
@@ -67,7 +67,8 @@
     Time lease_end = 0; // by then the worker has given up this session if nobody renews it
     bool on_roster = false;
     bool roster_write = false;
-    bool draining = false;
+    bool draining = false; // for good: a notice, or failures
+    bool trimming = false; // more than is wanted: no new tasks, unless the wants grow again
     bool releasing = false;
     Time idle_since = 0;
     std::optional<double> notice_s;
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -458,8 +458,9 @@
 // ---- Placing ----
 
 bool PartOwner::may_place(const Machine& m) const {
-    return m.reported && m.fenced && m.on_roster && !m.draining && !m.releasing && !m.notice_s &&
-           !m.has_foreign() && !m.has_unknown_shape() && m.errors < policy_.sick_errors;
+    return m.reported && m.fenced && m.on_roster && !m.draining && !m.trimming && !m.releasing &&
+           !m.notice_s && !m.has_foreign() && !m.has_unknown_shape() &&
+           m.errors < policy_.sick_errors;
 }
 
 void PartOwner::relist(Machine& m) {
@@ -533,6 +534,11 @@
     // A job that has missed all its aims stands behind those that can still meet one.
     Time late = job.known_since + 1e6;
     Time next = late;
+    // What is left takes at least this long, even with all that its team may use.
+    const JobSpec& s = job.spec;
+    const TeamFacts* team = teams_.facts(s.team);
+    double left = static_cast<double>(s.tasks - job.done);
+    double shortest = s.estimate_s * std::max(1.0, left * s.cpus / std::max(1.0, team->cpus_max));
     for (const auto& o : facts_.objectives) {
         if (o.job_class != job.spec.job_class) {
             continue;
@@ -542,7 +548,8 @@
             continue;
         }
         Time at = job.known_since + (own ? *job.spec.deadline_s * o.times : o.within_s);
-        if (at > now) {
+        bool starts = o.kind == Objective::Kind::wait;
+        if (at > now + (starts ? 0 : shortest)) {
             next = std::min(next, at);
         }
     }
@@ -951,6 +958,11 @@
             });
         }
     }
+    for (const auto& name : fleet_.trim(now, machines_, sum)) {
+        Machine& m = *machines_.find(name);
+        m.trimming = !m.trimming;
+        relist(m);
+    }
     bool may_suspect = accounted_ && now - since_ > machines_.lease_bound_s();
     auto surplus = fleet_.surplus(now, machines_, sum, may_suspect);
     if (!surplus.empty()) {
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -175,6 +175,8 @@
     double part_lease_s = 0;
     double idle_return_s = 0;
     double rent_horizon_s = 0;
+    double demand_fade_s = 0;
+    double spare_share = 0;
     double boot_limit_s = 0;
     double capacity_backoff_s = 0;
     double sick_errors = 0;
--- a/src/policy/defaults.h
+++ b/src/policy/defaults.h
@@ -8,8 +8,10 @@
 inline Policy defaults(const Facts& facts) {
     Policy p;
     p.part_lease_s = 0.45 * facts.lease_s; // a takeover leaves workers' leases time to go on
-    p.idle_return_s = 0.6;                 // of a boot: about what it costs to rent again
+    p.idle_return_s = 0.4;                 // of a boot: about what it costs to rent again
     p.rent_horizon_s = 1.0;                // of a boot: waiting work should be done by then
+    p.demand_fade_s = 0.4;                 // of a boot: peaks of the demand fade over it
+    p.spare_share = 0.1;                   // kept beyond the recent demand
     p.boot_limit_s = 3.0;                  // of the usual boot: then it is given up
     p.capacity_backoff_s = facts.lease_s;  // before a zone that had none is asked again
     p.sick_errors = 3;                     // failed tasks in a row
