Hand-back without circles, no deafness in an outage, quicker takeover, catalog kept

(2) In a state outage owners without a valid lease answered 503 and then took the silence of their machines for their own deafness; any report now counts as heard. (4) A node started while the cloud was down had no catalog and left its part unowned for 32 s; the catalog is now kept in the state service. (5) Final writes were retried every tick in an outage.

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 constexpr char kParts[] = "part/";
+constexpr char kCatalog[] = "catalog";
 constexpr char kHomeEnd[] = "/home";
 constexpr RequestId kLocalRequest = 1ULL << 62;
 } // namespace
@@ -125,6 +126,7 @@
 }
 
 void Controller::on_report(Time now, const WorkerReport& in) {
+    worker_heard_ = now; // whether or not it can be served
     int part = part_of_machine(facts_, in.report.machine, in.report.zone);
     auto it = owners_.find(part);
     if (it != owners_.end()) {
@@ -159,16 +161,11 @@
     watch_parts(now);
     ask_back(now);
     std::size_t reporting = 0;
-    Time heard = now;
-    if (!owners_.empty()) {
-        heard = 0;
-        for (const auto& [part, owner] : owners_) {
-            reporting += owner->reporting();
-            heard = std::max(heard, owner->heard_at());
-        }
+    for (const auto& [part, owner] : owners_) {
+        reporting += owner->reporting();
     }
     // A single machine may well be gone by itself.
-    if (reporting > 1 && now - heard > facts_.lease_s / 3) {
+    if (reporting > 1 && now - worker_heard_ > facts_.lease_s / 3) {
         // Workers cannot reach this node, so others should have its parts: left alone, the
         // lease ends by itself, and this node does not come back to them for a while.
         abstain_until_ = now + 2 * facts_.lease_s;
@@ -187,10 +184,28 @@
 void Controller::fetch_catalog(Time now) {
     fetching_ = true;
     next_catalog_ = now + facts_.report_s / 3;
-    calls_.send(Catalog{}, [this](Time, CallReply& reply) {
+    calls_.send(Catalog{}, [this](Time at, CallReply& reply) {
         fetching_ = false;
         if (reply.status == 200 && !reply.types.empty()) {
             types_ = reply.types;
+            Txn txn;
+            txn.then.push_back({kCatalog, CatalogRecord{types_}, {}});
+            calls_.send_state(at, StateBudget::Use::progress, std::move(txn),
+                              [](Time, CallReply&) {});
+        } else if (types_.empty()) {
+            read_catalog(at);
+        }
+    });
+}
+
+// The cloud does not answer: what it said before is better than serving nobody.
+void Controller::read_catalog(Time now) {
+    calls_.send_state(now, StateBudget::Use::user, Get{kCatalog}, [this](Time, CallReply& reply) {
+        if (reply.status != 200 || reply.items.empty() || !types_.empty()) {
+            return;
+        }
+        if (const auto* catalog = std::get_if<CatalogRecord>(&reply.items[0].record)) {
+            types_ = catalog->types;
         }
     });
 }
@@ -291,10 +306,13 @@
             continue;
         }
         // A part may be claimed when its key is gone: by its home node at once, by others too
-        // unless they have only just started, perhaps all together; or when the owner of record is
-        // this very node, whose process of before is dead, since a node runs one process at a time.
+        // unless they have only just started, perhaps all together, or the home node is
+        // waiting for it (else the part would go round among the others); or when the owner of
+        // record is this very node, whose process of before is dead, since a node runs one process
+        // at a time.
         bool mine = s.node == facts_.node;
-        bool gone = s.version == 0 && (part == facts_.home || now - started_ > 2 * facts_.report_s);
+        bool gone = s.version == 0 && (part == facts_.home ||
+                                       (now - started_ > 2 * facts_.report_s && !s.home_waits));
         if ((mine || gone) && authority_.valid(now) && !types_.empty() && now >= abstain_until_ &&
             !s.claiming) {
             claim(now, part);
@@ -358,7 +376,7 @@
     const PartState& s = parts_[static_cast<std::size_t>(facts_.home)];
     bool elsewhere = !s.node.empty() && s.node != facts_.node;
     if (!elsewhere || s.home_waits || asking_ || now < next_ask_ || !authority_.valid(now) ||
-        now - started_ < facts_.lease_s || now < abstain_until_) {
+        now - started_ < facts_.lease_s || now < abstain_until_ || types_.empty()) {
         return;
     }
     Txn txn;
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -26,6 +26,7 @@
     };
     void tick(Time now);
     void fetch_catalog(Time now);
+    void read_catalog(Time now);
     void grant_lease(Time now);
     void renew(Time now);
     void read_parts(Time now);
@@ -63,6 +64,7 @@
     Time next_read_ = 0;
     Time next_watch_ = 0;
     Time next_ask_ = 0;
+    Time worker_heard_ = 0;
     Time abstain_until_ = 0;
     Time state_answered_ = 0; // the last answer that was the state service's own
 };
--- a/src/core/job_store.h
+++ b/src/core/job_store.h
@@ -25,6 +25,7 @@
     std::vector<std::uint64_t> chunk_saved;   // ... and how many of them are durable
     std::map<std::string, int> zone_use;      // placed tasks per zone
     bool finishing = false;                   // the final write is under way
+    Time finish_after = 0;                    // it failed: not again before this
     // Starts that failed on machines which served other jobs well: the job itself may be at
     // fault, so it waits longer each time instead of taking machine after machine with it.
     int failures = 0;
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -15,6 +15,8 @@
 constexpr char kProgress[] = "done/";
 // Delays of this process that a lease bound allows for, as a part of the lease: a safety bound.
 constexpr double kMargin = 1.0 / 16;
+// A worker finds a new owner within this many report times, by trying one node after the other.
+constexpr double kTakeoverReports = 2.5;
 constexpr std::size_t kMostCommands = 200; // keeps a response well under the 64 KiB allowed
 
 std::uint32_t chunk_tasks(const Facts& facts) {
@@ -679,14 +681,6 @@
     return n;
 }
 
-Time PartOwner::heard_at() const {
-    Time newest = since_;
-    for (const auto& [name, m] : machines_.all()) {
-        newest = std::max(newest, m.last_report);
-    }
-    return newest;
-}
-
 bool PartOwner::counts(const std::string& id, std::uint32_t& done, std::uint32_t& running) {
     Job* job = jobs_.find(id);
     if (!job) {
@@ -771,7 +765,7 @@
 
 // The job's outcome and the end of its progress keys are one write; only then is it done.
 void PartOwner::finish_job(Time now, Job& job) {
-    if (job.finishing) {
+    if (job.finishing || now < job.finish_after) {
         return;
     }
     Txn txn = guarded();
@@ -788,6 +782,7 @@
                                           Job* j = jobs_.find(id);
                                           if (j) {
                                               j->finishing = false;
+                                              j->finish_after = at + facts_.report_s / 6;
                                           }
                                           if (wrote(reply, "outcome")) {
                                               calls_.log(Level::info, "event=job_done job=" + id);
@@ -965,6 +960,18 @@
     }
     bool may_suspect = accounted_ && now - since_ > machines_.lease_bound_s();
     auto surplus = fleet_.surplus(now, machines_, sum, may_suspect);
+    // After a takeover, the few machines that have not come to this owner while the rest have
+    // are most likely gone. A release makes that certain long before their leases run out, and
+    // until it is certain nothing can be placed.
+    if (!accounted_ && now - since_ > kTakeoverReports * facts_.report_s &&
+        unaccounted_.size() * 2 <= machines_.all().size()) {
+        for (const auto& name : unaccounted_) {
+            const Machine* m = machines_.find(name);
+            if (m && !m->reported && !m->releasing) {
+                surplus.push_back(name);
+            }
+        }
+    }
     if (!surplus.empty()) {
         release(now, surplus);
     }
--- a/src/core/part_owner.h
+++ b/src/core/part_owner.h
@@ -22,9 +22,8 @@
     void tick(Time now);
     bool answered(Time now, CallReply& reply) { return calls_.answered(now, reply); }
     void take(Outputs& out) { calls_.take(out); }
-    // Machines that reported and have not lapsed since, and when the last report of any came.
+    // Machines that have reported and not lapsed since.
     std::size_t reporting() const;
-    Time heard_at() const;
     // The owner of another part asks for slots for its tasks, as the owner of their jobs.
     void exchange(Time now, RequestId request, const Exchange& in);
     // Who owns the other parts; empty: nobody that we know of.
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -119,8 +119,12 @@
     std::string zone;
     bool spot = false;
 };
+struct CatalogRecord { // catalog: as the cloud last gave it, for a start while the cloud is down
+    std::vector<MachineType> types;
+};
 struct Unreadable {};
-using Record = std::variant<Unreadable, JobRecord, ProgressRecord, PartRecord, MachineRecord>;
+using Record =
+    std::variant<Unreadable, JobRecord, ProgressRecord, PartRecord, MachineRecord, CatalogRecord>;
 
 struct KeyedRecord {
     std::string key;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -303,6 +303,53 @@
     return bits;
 }
 
+MachineType type_of(const Fields& f) {
+    MachineType t;
+    t.name = f.text("sku");
+    t.cpus = f.amount("cpus");
+    t.gpus = f.amount("cards");
+    t.ram_gb = f.amount("ram_gb");
+    t.cache_gb = f.amount("cache_gb");
+    t.fetch_gb_per_s = f.amount("pull_gb_per_s");
+    t.price = f.amount("rate");
+    t.spot_price = f.maybe_amount("market_price").value_or(t.price);
+    t.boot_s = f.amount("startup_s");
+    for (const auto* z : f.list("houses")) {
+        t.zones.push_back(Fields::text_of(*z, "houses"));
+    }
+    if (t.cpus <= 0 || t.ram_gb <= 0) {
+        throw BadMessage("catalog: empty machine type");
+    }
+    return t;
+}
+
+void pack_types(Packer& p, const std::vector<MachineType>& types) {
+    p.pack_map(1);
+    key(p, "benches");
+    p.pack_array(static_cast<std::uint32_t>(types.size()));
+    for (const auto& t : types) {
+        p.pack_map(10);
+        field(p, "sku", t.name);
+        field(p, "cpus", t.cpus);
+        field(p, "cards", t.gpus);
+        field(p, "ram_gb", t.ram_gb);
+        field(p, "cache_gb", t.cache_gb);
+        field(p, "pull_gb_per_s", t.fetch_gb_per_s);
+        field(p, "rate", t.price);
+        field(p, "market_price", t.spot_price);
+        field(p, "startup_s", t.boot_s);
+        field(p, "houses", t.zones);
+    }
+}
+
+std::vector<MachineType> types_of(const Fields& f) {
+    std::vector<MachineType> types;
+    for (const auto* item : f.list("benches")) {
+        types.push_back(type_of(Fields(*item)));
+    }
+    return types;
+}
+
 void pack_record(Packer& p, const Record& record) {
     if (const auto* job = std::get_if<JobRecord>(&record)) {
         p.pack_map(job->spec ? 2 : 1);
@@ -322,6 +369,8 @@
         field(p, "type", machine->type);
         field(p, "zone", machine->zone);
         field(p, "spot", machine->spot);
+    } else if (const auto* catalog = std::get_if<CatalogRecord>(&record)) {
+        pack_types(p, catalog->types);
     } else {
         p.pack_nil();
     }
@@ -347,6 +396,9 @@
         if (key.starts_with("part/")) {
             return PartRecord{f.text("node")};
         }
+        if (key == "catalog") {
+            return CatalogRecord{types_of(f)};
+        }
         if (key.starts_with("machine/")) {
             return MachineRecord{f.text("type"), f.text("zone"), f.flag("spot")};
         }
@@ -403,26 +455,6 @@
     return h;
 }
 
-MachineType type_of(const Fields& f) {
-    MachineType t;
-    t.name = f.text("sku");
-    t.cpus = f.amount("cpus");
-    t.gpus = f.amount("cards");
-    t.ram_gb = f.amount("ram_gb");
-    t.cache_gb = f.amount("cache_gb");
-    t.fetch_gb_per_s = f.amount("pull_gb_per_s");
-    t.price = f.amount("rate");
-    t.spot_price = f.maybe_amount("market_price").value_or(t.price);
-    t.boot_s = f.amount("startup_s");
-    for (const auto* z : f.list("houses")) {
-        t.zones.push_back(Fields::text_of(*z, "houses"));
-    }
-    if (t.cpus <= 0 || t.ram_gb <= 0) {
-        throw BadMessage("catalog: empty machine type");
-    }
-    return t;
-}
-
 // ---- Between controllers: names are our own ----
 
 constexpr std::array<std::string_view, 3> kTolds{"stop", "clear", "shape"};
@@ -808,9 +840,7 @@
                 }
             }
         } else if (std::holds_alternative<Catalog>(call)) {
-            for (const auto* item : f.list("benches")) {
-                r.types.push_back(type_of(Fields(*item)));
-            }
+            r.types = types_of(f);
         } else if (std::holds_alternative<ListHosts>(call)) {
             r.more = f.flag("more");
             for (const auto* item : f.list("pots")) {
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -373,6 +373,35 @@
     EXPECT_EQ(stage(w, 2, "req-1"), "done");
 }
 
+TEST(Parts, AreTakenByTheirHomeNodeAfterACrashThoughTheCloudIsDown) {
+    World w({.run_s = 30});
+    start(w, "req-1", 6);
+    w.cloud_down(true);
+    for (int i = 0; i < 3; ++i) {
+        w.crash(i, 4);
+    }
+    w.run_for(12);
+    for (int part = 0; part < 3; ++part) {
+        EXPECT_EQ(w.owner(part), part);
+    }
+    w.run_for(60);
+    EXPECT_EQ(stage(w, 0, "req-1"), "done");
+}
+
+TEST(Parts, StayWhereTheyAreThroughAStateOutage) {
+    // Workers that get no 200 go on calling, so a node without a valid lease is not deaf.
+    World w({.run_s = 100});
+    start(w, "req-1", 12);
+    w.run_for(10);
+    w.state_down(true);
+    w.run_for(20);
+    w.state_down(false);
+    w.run_for(3);
+    for (int part = 0; part < 3; ++part) {
+        EXPECT_EQ(w.owner(part), part);
+    }
+}
+
 TEST(Parts, AreTheSameForEveryNodeAndNearTheirMachines) {
     World w({});
     for (int i = 0; i < 200; ++i) {
