A new buyer hears the others before it rents; failed releases wait

It now waits until each part has called. A release refused in a cloud outage was repeated every second for each empty machine; it now waits a report time.

--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -924,8 +924,11 @@
         return !t || now - b.second.second > fleet_.boot_limit_s(*t);
     });
     Totals sum = totals(now);
-    // One part buys for all, so that the same lack is not made up for several times.
-    if (part_ == 0) {
+    // One part buys for all, so that the same lack is not made up for several times; and not
+    // before it has heard what the others have, or it would rent that once more.
+    bool heard = std::all_of(peers_.begin(), peers_.end(),
+                             [](const auto& p) { return p.second.job_term > 0; });
+    if (part_ == 0 && (heard || now - since_ > facts_.lease_s)) {
         std::map<std::string, int> in_zone;
         for (const auto& [name, m] : machines_.all()) {
             ++in_zone[m.zone];
@@ -972,7 +975,7 @@
             }
         }
     }
-    if (!surplus.empty()) {
+    if (!surplus.empty() && now >= next_release_) {
         release(now, surplus);
     }
 }
@@ -993,7 +996,8 @@
                 continue;
             }
             if (reply.status != 200) {
-                m->releasing = false; // it is still a surplus: the next round tries again
+                m->releasing = false; // it is still a surplus, and tried again before long
+                next_release_ = at + facts_.report_s;
                 relist(*m);
                 continue;
             }
--- a/src/core/part_owner.h
+++ b/src/core/part_owner.h
@@ -163,6 +163,7 @@
     std::set<std::string> unaccounted_; // roster machines that may carry tasks we do not know
     Time next_list_ = 0;
     Time next_fleet_ = 0;
+    Time next_release_ = 0;
     Time next_save_ = 0;
     Time next_watch_ = 0;
 };
