A node that has only just claimed a part is not deaf

The time without reports now counts from the claim. The hand-back test now watches that the part stays.

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -363,6 +363,7 @@
                 return;
             }
             authority_.claimed(part, reply.revision);
+            worker_heard_ = at; // its machines have only now reason to come to this node
             state.node = facts_.node;
             state.version = reply.revision;
             calls_.log(Level::info, "event=part_claimed part=" + std::to_string(part) +
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -368,8 +368,15 @@
     w.crash(1, 40);
     w.run_for(30);
     EXPECT_NE(w.owner(1), 1);
-    w.run_for(90);
-    EXPECT_EQ(w.owner(1), 1);
+    for (int i = 0; i < 90 && w.owner(1) != 1; ++i) {
+        w.run_for(1);
+    }
+    // Once back it stays: a node that no worker had reason to call before is not deaf.
+    for (int i = 0; i < 40; ++i) {
+        EXPECT_EQ(w.owner(1), 1);
+        w.submit(i % 3, w.job("req-" + std::to_string(100 + i), 3));
+        w.run_for(1);
+    }
     EXPECT_EQ(stage(w, 2, "req-1"), "done");
 }
 
