Services: replicas run until cancelled and move off machines that are to go

A replica that ends waits to be started again; on a machine that drains it is stopped, by the machine's owner or, for a guest, by word of its job's owner. The loopback check of a service passes (two replicas ran, gone at the cancellation); that of a gang does not yet, since gangs get 503.

--- a/src/core/io.h
+++ b/src/core/io.h
@@ -82,6 +82,7 @@
     std::string machine;
     std::string zone;
     bool shape_unknown = false;
+    bool draining = false; // its machine is to go
 };
 struct Grant { // slots handed over, struck from their owner's list
     std::uint64_t attempt = 0;
--- a/src/core/job_store.cpp
+++ b/src/core/job_store.cpp
@@ -95,8 +95,8 @@
 }
 
 void JobStore::finish(Job& job, std::uint32_t task) {
-    if (job.tasks[task] != TaskState::waiting) {
-        return;
+    if (job.tasks[task] != TaskState::waiting || job.spec.kind == JobKind::service) {
+        return; // a replica that ended waits to be started again
     }
     job.tasks[task] = TaskState::done;
     job.waiting.erase(task);
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -483,8 +483,10 @@
             over = stop_guests_.contains(p.attempt) ||
                    jobs_.final_outcome(task.job) == Outcome::cancelled;
         }
-        if (over && p.via == Placement::Via::listed && out.size() < kMostCommands) {
-            out.push_back({Op::stop, task, p.attempt, 0});
+        // Replicas move off a machine that is to go; a task of an array may end there.
+        bool moves = (m.draining || m.trimming) && job && job->spec.kind == JobKind::service;
+        if ((over || moves) && p.via == Placement::Via::listed && out.size() < kMostCommands) {
+            out.push_back({Op::stop, task, p.attempt, over ? 0 : job->spec.save_s});
         }
     }
 }
@@ -600,7 +602,7 @@
     for (const auto& [id, job] : jobs_.all()) {
         const JobSpec& s = job->spec;
         if (settled_ && job->open() && !job->waiting.empty() && now >= job->hold_until &&
-            s.kind == JobKind::array) {
+            s.kind != JobKind::gang) {
             waiting.push_back({s.priority, !teams_.within_guarantee(s.team, s.cpus, s.gpus),
                                due(now, *job), job->known_since, job.get(), nullptr, part_});
         }
@@ -896,7 +898,8 @@
         double cpus = slots_needed(t, s.cpus, s.ram_gb);
         double horizon = policy_.rent_horizon_s * t.boot_s;
         double waiting = static_cast<double>(job->waiting.size());
-        double pace = std::min(1.0, std::max(s.estimate_s, 1.0) / horizon);
+        double pace =
+            s.kind == JobKind::service ? 1 : std::min(1.0, std::max(s.estimate_s, 1.0) / horizon);
         // A task longer than the horizon needs a place of its own.
         double want = (job->placed + std::ceil(waiting * pace)) * cpus;
         (s.spot ? needs[s.team].any : needs[s.team].ordinary) += want;
--- a/src/core/stealing.cpp
+++ b/src/core/stealing.cpp
@@ -48,7 +48,7 @@
     std::vector<const Job*> waiting;
     for (const auto& [id, job] : jobs_.all()) {
         if (job->open() && !job->waiting.empty() && now >= job->hold_until &&
-            job->spec.kind == JobKind::array) {
+            job->spec.kind != JobKind::gang) {
             waiting.push_back(job.get());
         }
     }
@@ -177,7 +177,8 @@
             remote_[t.task] = {t.attempt, part, h.machine, h.zone};
             same = true;
         }
-        if (!same || !job->open()) {
+        bool moves = h.draining && ours && job->spec.kind == JobKind::service;
+        if (!same || !job->open() || moves) {
             peer.told[t.attempt] = {Told::What::stop, t.attempt};
         } else if (h.shape_unknown) {
             const JobSpec& s = job->spec;
@@ -215,7 +216,7 @@
         bool type_ok =
             !s.types || std::find(s.types->begin(), s.types->end(), g.type) != s.types->end();
         return settled_ && job.open() && !job.waiting.empty() && now >= job.hold_until &&
-               s.kind == JobKind::array && s.cpus <= g.cpus && s.gpus <= g.gpus &&
+               s.kind != JobKind::gang && s.cpus <= g.cpus && s.gpus <= g.gpus &&
                s.ram_gb <= g.ram_gb && (s.spot || !g.spot) && type_ok &&
                zone_allowed(job, g.zone) && teams_.fits(s.team, s.cpus, s.gpus);
     };
@@ -295,12 +296,13 @@
         for (const auto& [task, p] : m.tasks) {
             if (part_of_attempt(p.attempt) == in.from) {
                 ListedTask listed{task, p.attempt, p.stage, ExitWhy::none};
-                reply.held.push_back({listed, name, m.zone, p.shape_unknown});
+                reply.held.push_back(
+                    {listed, name, m.zone, p.shape_unknown, m.draining || m.trimming});
             }
         }
         for (const auto& t : m.finished) {
             if (part_of_attempt(t.attempt) == in.from) {
-                reply.held.push_back({t, name, m.zone, false});
+                reply.held.push_back({t, name, m.zone, false, false});
             }
         }
         for (const auto& [attempt, lot] : m.lots) {
--- a/src/core/user_desk.cpp
+++ b/src/core/user_desk.cpp
@@ -68,7 +68,7 @@
         return;
     }
     std::string why = refusal(spec, types);
-    if (why.empty() && spec.kind == JobKind::array) {
+    if (why.empty() && spec.kind != JobKind::gang) {
         create(now, submit.request, spec);
         return;
     }
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -574,7 +574,7 @@
     key(p, "held");
     p.pack_array(static_cast<std::uint32_t>(r.held.size()));
     for (const auto& h : r.held) {
-        p.pack_map(7);
+        p.pack_map(8);
         field(p, "task", text_of(h.listed.task));
         field(p, "attempt", h.listed.attempt);
         field(p, "stage", name_of(h.listed.stage, kStages));
@@ -582,6 +582,7 @@
         field(p, "machine", h.machine);
         field(p, "zone", h.zone);
         field(p, "shape_unknown", h.shape_unknown);
+        field(p, "draining", h.draining);
     }
     key(p, "open");
     p.pack(r.open);
@@ -618,6 +619,7 @@
         held.machine = h.text("machine");
         held.zone = h.text("zone");
         held.shape_unknown = h.flag("shape_unknown");
+        held.draining = h.flag("draining");
         r.held.push_back(std::move(held));
     }
     r.open = counts_of(f, "open");
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -280,6 +280,31 @@
     EXPECT_EQ(lists.pop(kind, 4, any), nullptr);
 }
 
+TEST(Services, KeepTheirReplicasUntilCancelled) {
+    World w({});
+    w.run_for(3);
+    JobSpec service = w.job("req-1", 6);
+    service.kind = JobKind::service;
+    service.estimate_s = 0;
+    w.submit(0, service);
+    w.run_for(40);
+    ASSERT_FALSE(w.machines_of({"req-1", 0}).empty());
+    w.kill_machine(*w.machines_of({"req-1", 0}).begin());
+    w.run_for(60);
+    for (std::uint32_t i = 0; i < 6; ++i) {
+        EXPECT_EQ(w.machines_of({"req-1", i}).size(), 1u);
+    }
+    EXPECT_GE(w.starts({"req-1", 0}), 2);
+    EXPECT_EQ(stage(w, w.owner(red(w)), "req-1"), "running");
+    w.cancel(2, "req-1");
+    w.run_for(20);
+    for (std::uint32_t i = 0; i < 6; ++i) {
+        EXPECT_TRUE(w.machines_of({"req-1", i}).empty());
+    }
+    EXPECT_EQ(stage(w, 0, "req-1"), "cancelled");
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+}
+
 TEST(Stealing, ATaskRunsOnAnotherPartsMachineAndItsEndComesBack) {
     World w({.run_s = 20});
     start(w, "req-1", 12);
