--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -249,6 +249,58 @@
     EXPECT_FALSE(w.machines_up().empty());
 }
 
+TEST(MachineTable, ADirectStartIsGoneOnlyUnderAHigherToken) {
+    constexpr std::uint64_t kTerm = 7;
+    MachineTable table(17, 1);
+    Machine& m = table.add(0, "i-1", {"m8", 8, 0, 32, 20, 1, 1, 1, 10, {"a"}}, "a", false);
+    Report r;
+    r.machine = "i-1";
+    r.session = 1;
+    r.tick = 1;
+    r.token = make_token(kTerm, 0);
+    table.listing(0, m, r, kTerm, 0);
+    EXPECT_TRUE(m.fenced);
+    TaskRef task{"req-1", 0};
+    Placement p;
+    p.attempt = 1;
+    table.queue_start(0, m, task, p);
+    table.sent_directly(m, table.send_directly(m, r.token), 5);
+    table.fence(m); // no answer came
+    r.tick = 2;     // a report under the token that the start carries proves nothing
+    EXPECT_TRUE(table.listing(1, m, r, kTerm, 0).gone.empty());
+    EXPECT_FALSE(m.fenced);
+    r.tick = 3;
+    r.token = make_token(kTerm, 1);
+    EXPECT_EQ(table.listing(2, m, r, kTerm, 0).gone.size(), 1u);
+    EXPECT_TRUE(m.fenced);
+    // A token of an earlier term is never ours, however high its sequence.
+    r.tick = 4;
+    r.token = make_token(kTerm - 1, 1000);
+    table.listing(3, m, r, kTerm, 0);
+    EXPECT_FALSE(m.fenced);
+}
+
+TEST(State, DoneBitsThatAreLostCostNoResult) {
+    World w({.run_s = 6});
+    bool lose = true;
+    w.intercept = [&](int, const CallBody& body) {
+        const auto* txn = std::get_if<Txn>(&body);
+        return lose && txn && !txn->then.empty() && txn->then[0].key.starts_with("done/");
+    };
+    start(w, "req-1", 40); // more than the limit lets run at once
+    w.run_for(10);
+    w.crash(w.owner(red(w)), 4);
+    w.run_for(10);
+    lose = false;
+    w.run_for(60);
+    EXPECT_EQ(stage(w, 0, "req-1"), "done");
+    for (std::uint32_t i = 0; i < 40; ++i) {
+        // Not cleared at its worker before its bit is durable, so never run again.
+        EXPECT_EQ(w.starts({"req-1", i}), 1);
+    }
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+}
+
 TEST(Budget, RenewalsGoOutEvenWhenUsersUseEverything) {
     StateBudget budget(100, 20, 3);
     int users = 0;
