One place each for three checks; behaviour unchanged

Whether a job has tasks to place stood in three places, whether an exited task may be cleared in two, whether a job allows a machine type in three; each now has one function. A field that nothing read is gone.

--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -439,6 +439,12 @@
     }
 }
 
+bool PartOwner::end_is_durable(const ListedTask& t) {
+    const Job* job = jobs_.find(t.task.job);
+    return !job || !job->open() || t.why != ExitWhy::done ||
+           (t.task.index < job->spec.tasks && jobs_.durable(*job, t.task.index));
+}
+
 Placement PartOwner::shape_of(const JobSpec& s) const {
     Placement p;
     p.team = s.team;
@@ -456,12 +462,9 @@
         return; // what is not known yet may be a job's rightful task
     }
     for (const auto& t : m.finished) {
-        Job* job = jobs_.find(t.task.job);
-        bool durable = !job || !job->open() || t.why != ExitWhy::done ||
-                       (t.task.index < job->spec.tasks && jobs_.durable(*job, t.task.index));
-        if (part_of_attempt(t.attempt) != part_) {
-            durable = clear_guests_.erase(t.attempt) > 0; // if this is lost, we are told again
-        }
+        bool guest = part_of_attempt(t.attempt) != part_;
+        // A guest's owner says it, and if the command is lost, says it again.
+        bool durable = guest ? clear_guests_.erase(t.attempt) > 0 : end_is_durable(t);
         if (durable && out.size() < kMostCommands) {
             out.push_back({Op::clear, t.task, t.attempt, 0});
         }
@@ -529,7 +532,7 @@
     // A machine that has the image before one that has to fetch it.
     for (bool warm : {true, false}) {
         for (const auto& t : types_) {
-            if (s.types && std::find(s.types->begin(), s.types->end(), t.name) == s.types->end()) {
+            if (!s.allows_type(t.name)) {
                 continue;
             }
             auto fits = [&](const std::string& name) {
@@ -594,6 +597,11 @@
 
 // Idle slots go to the tasks that wait, our own and those that other parts want slots for, in
 // one order: priority, guarantee before borrowing, what is due first, arrival.
+bool PartOwner::waits(Time now, const Job& job) const {
+    return settled_ && job.open() && !job.waiting.empty() && now >= job.hold_until &&
+           job.spec.kind != JobKind::gang;
+}
+
 void PartOwner::place(Time now) {
     if (!accounted_ || !usable_now(now)) {
         return;
@@ -601,8 +609,7 @@
     std::vector<Candidate> waiting;
     for (const auto& [id, job] : jobs_.all()) {
         const JobSpec& s = job->spec;
-        if (settled_ && job->open() && !job->waiting.empty() && now >= job->hold_until &&
-            s.kind != JobKind::gang) {
+        if (waits(now, *job)) {
             waiting.push_back({s.priority, !teams_.within_guarantee(s.team, s.cpus, s.gpus),
                                due(now, *job), job->known_since, job.get(), nullptr, part_});
         }
--- a/src/core/part_owner.h
+++ b/src/core/part_owner.h
@@ -62,6 +62,10 @@
     // When the job is next expected to have come to something, by the aims of its class.
     Time due(Time now, const Job& job) const;
     void fill(Time now, bool spot, bool spot_jobs, const std::vector<Candidate>& waiting);
+    // Has the job tasks to be placed now?
+    bool waits(Time now, const Job& job) const;
+    // May the worker forget this exited task of ours?
+    bool end_is_durable(const ListedTask& task);
     bool place_one(Time now, bool spot, Job& job, std::uint32_t task);
     bool zone_allowed(const Job& job, const std::string& zone) const;
     void send_orders(Time now);
@@ -74,7 +78,6 @@
         int part = 0;
         std::string machine;
         std::string zone;
-        bool running = false;
     };
     struct Peer {
         std::string node;
--- a/src/core/stealing.cpp
+++ b/src/core/stealing.cpp
@@ -42,13 +42,9 @@
 
 std::vector<Want> PartOwner::wants_for(Time now, const Peer& peer) const {
     std::vector<Want> wants;
-    if (!settled_) {
-        return wants;
-    }
     std::vector<const Job*> waiting;
     for (const auto& [id, job] : jobs_.all()) {
-        if (job->open() && !job->waiting.empty() && now >= job->hold_until &&
-            job->spec.kind != JobKind::gang) {
+        if (waits(now, *job)) {
             waiting.push_back(job.get());
         }
     }
@@ -163,10 +159,7 @@
                     finish_job(now, *job);
                 }
             }
-            job = jobs_.find(t.task.job); // it may be over now
-            bool durable = !job || !job->open() || t.why != ExitWhy::done ||
-                           (t.task.index < job->spec.tasks && jobs_.durable(*job, t.task.index));
-            if (durable) {
+            if (end_is_durable(t)) {
                 peer.told[t.attempt] = {Told::What::clear, t.attempt};
             }
             continue;
@@ -213,12 +206,9 @@
 void PartOwner::use_grant(Time now, int part, Peer& peer, const Grant& g) {
     auto suits = [&](const Job& job) {
         const JobSpec& s = job.spec;
-        bool type_ok =
-            !s.types || std::find(s.types->begin(), s.types->end(), g.type) != s.types->end();
-        return settled_ && job.open() && !job.waiting.empty() && now >= job.hold_until &&
-               s.kind != JobKind::gang && s.cpus <= g.cpus && s.gpus <= g.gpus &&
-               s.ram_gb <= g.ram_gb && (s.spot || !g.spot) && type_ok &&
-               zone_allowed(job, g.zone) && teams_.fits(s.team, s.cpus, s.gpus);
+        return waits(now, job) && s.cpus <= g.cpus && s.gpus <= g.gpus && s.ram_gb <= g.ram_gb &&
+               (s.spot || !g.spot) && s.allows_type(g.type) && zone_allowed(job, g.zone) &&
+               teams_.fits(s.team, s.cpus, s.gpus);
     };
     Job* job = jobs_.find(g.job);
     if (!job || !suits(*job)) { // its tasks found slots meanwhile; another job may use these
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -1,6 +1,7 @@
 // Plain data that the core works on. Names are the field's; wire names live in the codec only.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -38,6 +39,10 @@
     double checkpoint_s = 0;
     double save_s = 0;
     std::optional<double> deadline_s;
+
+    bool allows_type(const std::string& type) const {
+        return !types || std::find(types->begin(), types->end(), type) != types->end();
+    }
 };
 
 struct TaskRef {
--- a/src/core/user_desk.cpp
+++ b/src/core/user_desk.cpp
@@ -29,10 +29,9 @@
         return "over the team's limit";
     }
     bool fits = std::any_of(types.begin(), types.end(), [&](const MachineType& t) {
-        bool allowed =
-            !s.types || std::find(s.types->begin(), s.types->end(), t.name) != s.types->end();
         bool here = !s.zone || std::find(t.zones.begin(), t.zones.end(), *s.zone) != t.zones.end();
-        return allowed && here && s.cpus <= t.cpus && s.gpus <= t.gpus && s.ram_gb <= t.ram_gb;
+        return s.allows_type(t.name) && here && s.cpus <= t.cpus && s.gpus <= t.gpus &&
+               s.ram_gb <= t.ram_gb;
     });
     return fits ? "" : "fits no allowed machine type";
 }
