--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,112 @@
+// orchidlanding: a cluster scheduler. This file wires settings, core and network together.
+#include <malloc.h>
+#include <pthread.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <thread>
+
+#include "cli/settings.h"
+#include "net/clients.h"
+#include "net/event_loop.h"
+#include "net/server.h"
+#include "policy/defaults.h"
+
+namespace {
+
+using namespace orchidlanding;
+
+constexpr char kVersion[] = "0.1.0";
+constexpr std::size_t kStackBytes = 256 * 1024;
+
+void set_up_process() {
+    std::signal(SIGPIPE, SIG_IGN);
+    // The machines are small: one malloc arena for all threads, and small stacks.
+    mallopt(M_ARENA_MAX, 1);
+    mallopt(M_TRIM_THRESHOLD, 256 * 1024);
+    pthread_attr_t attributes;
+    pthread_attr_init(&attributes);
+    pthread_attr_setstacksize(&attributes, kStackBytes);
+    pthread_setattr_default_np(&attributes);
+    pthread_attr_destroy(&attributes);
+}
+
+void set_up_log() {
+    auto log = spdlog::stderr_logger_mt("orchidlanding");
+    log->set_pattern("%Y-%m-%dT%H:%M:%S.%e level=%l %v");
+    const char* level = std::getenv("LOG_LEVEL");
+    log->set_level(spdlog::level::from_str(level ? level : "info"));
+    spdlog::set_default_logger(log);
+}
+
+void write_log(const LogLine& line) {
+    switch (line.level) {
+    case Level::error: spdlog::error("{}", line.text); break;
+    case Level::info: spdlog::info("{}", line.text); break;
+    case Level::debug: spdlog::debug("{}", line.text); break;
+    }
+}
+
+int serve(const cli::Settings& settings) {
+    set_up_process();
+    set_up_log();
+    Controller core(settings.facts, policy::defaults(settings.facts));
+    net::EventLoop* loop_pointer = nullptr;
+    net::Clients clients({settings.state, settings.cloud, settings.facts.report_s},
+                         [&](CallReply reply) { loop_pointer->push(std::move(reply)); });
+    net::EventLoop loop(core, [&](const Call& call) { clients.send(call); }, write_log);
+    loop_pointer = &loop;
+    net::Server server(loop, {settings.sockets, settings.facts.report_s});
+    if (!server.bind(settings.listen_host, settings.listen_port)) {
+        spdlog::error("event=cannot_listen address={}:{}", settings.listen_host,
+                      settings.listen_port);
+        return 1;
+    }
+    spdlog::info("event=started node={} listen={}:{}", settings.facts.node, settings.listen_host,
+                 settings.listen_port);
+    std::thread acceptor([&] { server.run(); });
+    loop.run();
+    server.stop();
+    acceptor.join();
+    clients.stop();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    CLI::App app{"orchidlanding, a cluster scheduler for tasks on rented machines"};
+    std::string config;
+    app.add_option("--config", config, "the platform's settings (TOML)");
+    app.set_version_flag("--version", kVersion);
+    CLI::App* check = app.add_subcommand("check", "read the settings, say what is wrong");
+    check->add_option("--config", config, "the platform's settings (TOML)");
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::Success& done) {
+        return app.exit(done);
+    } catch (const CLI::Error& error) {
+        app.exit(error);
+        return 2;
+    }
+    if (config.empty()) {
+        std::cerr << "orchidlanding: --config FILE is needed\n";
+        return 2;
+    }
+    cli::Settings settings;
+    try {
+        settings = cli::read_settings(config);
+    } catch (const cli::BadSettings& bad) {
+        std::cerr << "orchidlanding: " << bad.what() << "\n";
+        return 2;
+    }
+    if (check->parsed()) {
+        std::cout << "settings are in order\n";
+        return 0;
+    }
+    return serve(settings);
+}
--- /dev/null
+++ b/src/core/fleet.cpp
@@ -0,0 +1,178 @@
+#include "core/fleet.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace orchidlanding {
+
+namespace {
+constexpr int kMostPerOrder = 50;   // the cloud's own limit
+constexpr double kMissedReports = 2.5; // silent for so many report times: suspect
+} // namespace
+
+bool Fleet::usable(const Machine& m) const {
+    bool down = !m.reported && (m.session > 0 || m.on_roster);
+    return !m.draining && !m.releasing && !m.notice_s && !down;
+}
+
+std::vector<Rent> Fleet::rent(Time now, const Demand& demand,
+                              const std::vector<MachineType>& types,
+                              const MachineTable& machines) {
+    std::vector<Rent> out;
+    for (auto& p : pending_) {
+        if (!p.in_flight && now >= p.next) {
+            p.in_flight = true;
+            out.push_back(p.rent);
+        }
+    }
+    if (types.empty()) {
+        return out;
+    }
+    const MachineType& type =
+        *std::min_element(types.begin(), types.end(), [](const auto& a, const auto& b) {
+            return a.price / a.cpus < b.price / b.cpus;
+        });
+    double ordinary = 0;
+    double spot = 0;
+    for (const auto& [name, m] : machines.all()) {
+        if (usable(m)) {
+            (m.spot ? spot : ordinary) += m.type.cpus;
+        }
+    }
+    for (const auto& p : pending_) {
+        (p.rent.spot ? spot : ordinary) += p.rent.count * type.cpus;
+    }
+    wanted_ordinary_ = demand.ordinary_cpus;
+    wanted_any_ = demand.any_cpus;
+    double lack = demand.ordinary_cpus - ordinary;
+    if (lack > 0) {
+        ask(now, type, false, static_cast<int>(std::ceil(lack / type.cpus)), out, machines);
+    }
+    double spare = std::max(0.0, ordinary - demand.ordinary_cpus);
+    lack = demand.any_cpus - spot - spare;
+    if (lack > 0) {
+        ask(now, type, true, static_cast<int>(std::ceil(lack / type.cpus)), out, machines);
+    }
+    return out;
+}
+
+void Fleet::ask(Time now, const MachineType& type, bool spot, int count, std::vector<Rent>& out,
+                const MachineTable& machines) {
+    // One zone after the other, the one with the fewest machines of this kind first.
+    std::map<std::string, int> in_zone;
+    for (const auto& zone : type.zones) {
+        auto until = refused_until_.find({SlotKind{type.name, spot}, zone});
+        if (until == refused_until_.end() || now >= until->second) {
+            in_zone[zone] = 0;
+        }
+    }
+    if (in_zone.empty()) {
+        return;
+    }
+    for (const auto& [name, m] : machines.all()) {
+        if (m.spot == spot && m.type.name == type.name && in_zone.contains(m.zone)) {
+            ++in_zone[m.zone];
+        }
+    }
+    std::map<std::string, int> share;
+    for (int i = 0; i < count; ++i) {
+        auto least = std::min_element(in_zone.begin(), in_zone.end(), [](auto& a, auto& b) {
+            return a.second < b.second;
+        });
+        ++least->second;
+        ++share[least->first];
+    }
+    for (const auto& [zone, n] : share) {
+        Rent rent{"r-" + std::to_string(term_) + "-" + std::to_string(next_order_++), type.name,
+                  zone, spot, std::min(n, kMostPerOrder)};
+        pending_.push_back({rent, now, true});
+        out.push_back(rent);
+    }
+}
+
+void Fleet::rented(Time now, const Rent& rent, int status, std::size_t got) {
+    auto it = std::find_if(pending_.begin(), pending_.end(),
+                           [&](const Pending& p) { return p.rent.order == rent.order; });
+    if (it == pending_.end()) {
+        return;
+    }
+    SlotKind kind{rent.type, rent.spot};
+    if (status == 200 || status == 400 || status == 503) {
+        // A 503 rented nothing; whether for lack of machines or of the cloud itself, this zone
+        // is left alone for a while.
+        if (status != 200 || got < static_cast<std::size_t>(rent.count)) {
+            refused_until_[{kind, rent.zone}] = now + policy_.capacity_backoff_s;
+        }
+        pending_.erase(it);
+        return;
+    }
+    it->in_flight = false;
+    it->next = now + 1;
+}
+
+bool Fleet::was_released(Time now, const std::string& name) {
+    std::erase_if(released_,
+                  [&](const auto& r) { return now - r.second > 10 * facts_.list_lag_s; });
+    return released_.contains(name);
+}
+
+std::vector<std::string> Fleet::surplus(Time now, const MachineTable& machines,
+                                        bool may_suspect) const {
+    std::vector<std::string> out;
+    double ordinary = 0;
+    double spot = 0;
+    std::size_t reporting = 0;
+    std::size_t silent = 0;
+    double silence = kMissedReports * facts_.report_s;
+    for (const auto& [name, m] : machines.all()) {
+        if (usable(m)) {
+            (m.spot ? spot : ordinary) += m.type.cpus;
+        }
+        if (m.reported) {
+            ++reporting;
+            silent += now - m.last_report > silence;
+        }
+    }
+    for (const auto& [name, m] : machines.all()) {
+        if (m.releasing) {
+            continue;
+        }
+        if (!m.reported && m.session == 0 && !m.on_roster) { // has never been up
+            if (m.age_at_known_s + (now - m.known_since) > boot_limit_s(m.type)) {
+                out.push_back(name);
+            }
+            continue;
+        }
+        if (!m.reported) { // its lease has run out; it may come back, but has had its time
+            if (now - m.last_report > 2 * facts_.lease_s) {
+                out.push_back(name);
+            }
+            continue;
+        }
+        // Few machines silent while the rest report: these are dead, taken or cut off. A
+        // release makes sure that nothing runs there, well before the lease does. Many silent
+        // at once are more likely our own trouble.
+        if (may_suspect && now - m.last_report > silence && silent * 4 <= reporting + 3) {
+            out.push_back(name);
+            continue;
+        }
+        if (!m.tasks.empty() || m.has_foreign() || m.orders != 0) {
+            continue;
+        }
+        if (m.draining || m.errors >= policy_.sick_errors) {
+            out.push_back(name);
+            continue;
+        }
+        if (now - m.idle_since > policy_.idle_return_s * m.type.boot_s) {
+            double& have = m.spot ? spot : ordinary;
+            double want = m.spot ? wanted_any_ : wanted_ordinary_;
+            if (have - m.type.cpus >= want) {
+                have -= m.type.cpus;
+                out.push_back(name);
+            }
+        }
+    }
+    return out;
+}
+
+} // namespace orchidlanding
--- /dev/null
+++ b/src/core/job_store.cpp
@@ -0,0 +1,166 @@
+#include "core/job_store.h"
+
+#include <algorithm>
+
+namespace orchidlanding {
+
+namespace {
+// Final outcomes remembered so that a late read or event does not bring a job back to life.
+constexpr std::size_t kFinals = 20000;
+} // namespace
+
+Job* JobStore::find(const std::string& id) {
+    auto it = jobs_.find(id);
+    return it == jobs_.end() ? nullptr : it->second.get();
+}
+
+Job* JobStore::add(Time now, const JobSpec& spec, std::uint64_t version) {
+    if (finals_.contains(spec.id) || jobs_.contains(spec.id)) {
+        return nullptr;
+    }
+    auto job = std::make_unique<Job>();
+    job->spec = spec;
+    job->version = version;
+    job->known_since = now;
+    job->tasks.assign(spec.tasks, TaskState::waiting);
+    for (std::uint32_t i = 0; i < spec.tasks; ++i) {
+        job->waiting.insert(job->waiting.end(), i);
+    }
+    std::size_t n = (spec.tasks + chunk_tasks_ - 1) / chunk_tasks_;
+    job->chunk_changed.assign(n, 0);
+    job->chunk_saved.assign(n, 0);
+    return jobs_.emplace(spec.id, std::move(job)).first->second.get();
+}
+
+void JobStore::load_progress(const std::string& id, std::uint32_t chunk,
+                             const std::vector<bool>& done) {
+    Job* job = find(id);
+    if (!job || chunk >= chunks(*job)) {
+        return;
+    }
+    for (std::uint32_t i = 0; i < done.size(); ++i) {
+        std::uint32_t task = chunk * chunk_tasks_ + i;
+        if (done[i] && task < job->spec.tasks && job->tasks[task] == TaskState::waiting) {
+            job->tasks[task] = TaskState::done;
+            job->waiting.erase(task);
+            ++job->done;
+        }
+    }
+}
+
+bool JobStore::cancel(const std::string& id) {
+    Job* job = find(id);
+    if (!job || !job->open()) {
+        return false;
+    }
+    job->outcome = Outcome::cancelled;
+    for (std::uint32_t c = 0; c < chunks(*job); ++c) {
+        dirty_.erase({id, c});
+    }
+    return true;
+}
+
+void JobStore::final(const std::string& id, Outcome outcome) {
+    if (finals_.emplace(id, outcome).second) {
+        finals_order_.push_back(id);
+        if (finals_order_.size() > kFinals) {
+            finals_.erase(finals_order_.front());
+            finals_order_.pop_front();
+        }
+    }
+}
+
+std::optional<Outcome> JobStore::final_outcome(const std::string& id) const {
+    auto it = finals_.find(id);
+    return it == finals_.end() ? std::nullopt : std::optional(it->second);
+}
+
+void JobStore::place(Job& job, std::uint32_t task, const std::string& zone) {
+    job.tasks[task] = TaskState::placed;
+    job.waiting.erase(task);
+    ++job.placed;
+    ++job.zone_use[zone];
+}
+
+void JobStore::unplace(Job& job, std::uint32_t task, const std::string& zone) {
+    if (job.tasks[task] != TaskState::placed) {
+        return;
+    }
+    job.tasks[task] = TaskState::waiting;
+    job.waiting.insert(task);
+    --job.placed;
+    if (--job.zone_use[zone] == 0) {
+        job.zone_use.erase(zone);
+    }
+}
+
+void JobStore::finish(Job& job, std::uint32_t task) {
+    if (job.tasks[task] != TaskState::waiting) {
+        return;
+    }
+    job.tasks[task] = TaskState::done;
+    job.waiting.erase(task);
+    ++job.done;
+    std::uint32_t chunk = task / chunk_tasks_;
+    ++job.chunk_changed[chunk];
+    if (job.open()) {
+        dirty_.insert({job.spec.id, chunk});
+    }
+}
+
+void JobStore::drop(const std::string& id) {
+    Job* job = find(id);
+    if (!job) {
+        return;
+    }
+    for (std::uint32_t c = 0; c < chunks(*job); ++c) {
+        dirty_.erase({id, c});
+    }
+    jobs_.erase(id);
+}
+
+bool JobStore::durable(const Job& job, std::uint32_t task) const {
+    std::uint32_t chunk = task / chunk_tasks_;
+    return job.chunk_saved[chunk] == job.chunk_changed[chunk];
+}
+
+std::vector<DirtyChunk> JobStore::dirty(std::size_t most) const {
+    std::vector<DirtyChunk> out;
+    for (const auto& [id, chunk] : dirty_) {
+        if (out.size() == most) {
+            break;
+        }
+        const Job& job = *jobs_.at(id);
+        if (!job.complete()) { // a complete job's bits go with its final write
+            out.push_back({id, chunk, job.chunk_changed[chunk]});
+        }
+    }
+    return out;
+}
+
+std::vector<bool> JobStore::chunk_bits(const Job& job, std::uint32_t chunk) const {
+    std::uint32_t from = chunk * chunk_tasks_;
+    std::uint32_t to = std::min<std::uint32_t>(job.spec.tasks, from + chunk_tasks_);
+    std::vector<bool> bits(to - from);
+    for (std::uint32_t i = from; i < to; ++i) {
+        bits[i - from] = job.tasks[i] == TaskState::done;
+    }
+    return bits;
+}
+
+void JobStore::saved(const DirtyChunk& chunk) {
+    Job* job = find(chunk.job);
+    if (!job) {
+        return;
+    }
+    job->chunk_saved[chunk.chunk] = std::max(job->chunk_saved[chunk.chunk], chunk.change);
+    if (job->chunk_saved[chunk.chunk] == job->chunk_changed[chunk.chunk]) {
+        dirty_.erase({chunk.job, chunk.chunk});
+    }
+}
+
+std::uint32_t JobStore::chunks(const Job& job) const {
+    return static_cast<std::uint32_t>(job.chunk_changed.size());
+}
+
+} // namespace orchidlanding
--- /dev/null
+++ b/src/core/job_store.h
@@ -0,0 +1,76 @@
+// The jobs of the part: where each task stands, what of it is durable.
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+#include "core/types.h"
+
+namespace orchidlanding {
+
+enum class TaskState : std::uint8_t { waiting, placed, done };
+
+struct Job {
+    JobSpec spec;
+    std::uint64_t version = 0; // of the key job/<id>
+    Outcome outcome = Outcome::none;
+    Time known_since = 0;
+    std::vector<TaskState> tasks;
+    std::set<std::uint32_t> waiting;
+    std::uint32_t placed = 0;
+    std::uint32_t done = 0;
+    std::vector<std::uint64_t> chunk_changed; // per chunk: count of changes made
+    std::vector<std::uint64_t> chunk_saved;   // ... and how many of them are durable
+    std::map<std::string, int> zone_use;      // placed tasks per zone
+    bool finishing = false;                   // the final write is under way
+    // Starts that failed on machines which served other jobs well: the job itself may be at
+    // fault, so it waits longer each time instead of taking machine after machine with it.
+    int failures = 0;
+    Time hold_until = 0;
+
+    bool open() const { return outcome == Outcome::none; }
+    bool complete() const { return done == spec.tasks; }
+};
+
+struct DirtyChunk {
+    std::string job;
+    std::uint32_t chunk = 0;
+    std::uint64_t change = 0;
+};
+
+class JobStore {
+  public:
+    explicit JobStore(std::uint32_t chunk_tasks) : chunk_tasks_(chunk_tasks) {}
+
+    Job* find(const std::string& id);
+    // The job, unless it is known already or over.
+    Job* add(Time now, const JobSpec& spec, std::uint64_t version);
+    void load_progress(const std::string& id, std::uint32_t chunk, const std::vector<bool>& done);
+    bool cancel(const std::string& id);
+    void final(const std::string& id, Outcome outcome);
+    std::optional<Outcome> final_outcome(const std::string& id) const;
+
+    void place(Job& job, std::uint32_t task, const std::string& zone);
+    void unplace(Job& job, std::uint32_t task, const std::string& zone);
+    void finish(Job& job, std::uint32_t task);
+    void drop(const std::string& id);
+
+    bool durable(const Job& job, std::uint32_t task) const;
+    std::vector<DirtyChunk> dirty(std::size_t most) const;
+    std::vector<bool> chunk_bits(const Job& job, std::uint32_t chunk) const;
+    void saved(const DirtyChunk& chunk);
+    std::uint32_t chunks(const Job& job) const;
+
+    const std::unordered_map<std::string, std::unique_ptr<Job>>& all() const { return jobs_; }
+
+  private:
+    std::uint32_t chunk_tasks_;
+    std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
+    std::unordered_map<std::string, Outcome> finals_;
+    std::deque<std::string> finals_order_;
+    std::set<std::pair<std::string, std::uint32_t>> dirty_;
+};
+
+} // namespace orchidlanding
--- /dev/null
+++ b/src/core/machine_table.cpp
@@ -0,0 +1,262 @@
+#include "core/machine_table.h"
+
+#include <algorithm>
+
+#include "core/authority.h"
+
+namespace orchidlanding {
+
+double Machine::free_cpus() const {
+    double used = 0;
+    for (const auto& [task, p] : tasks) {
+        used += p.cpus;
+    }
+    return type.cpus - used;
+}
+
+double Machine::free_gpus() const {
+    double used = 0;
+    for (const auto& [task, p] : tasks) {
+        used += p.gpus;
+    }
+    return type.gpus - used;
+}
+
+double Machine::free_ram() const {
+    double used = 0;
+    for (const auto& [task, p] : tasks) {
+        used += p.ram_gb;
+    }
+    return type.ram_gb - used;
+}
+
+bool Machine::warm(const std::string& image) const {
+    return std::any_of(images.begin(), images.end(),
+                       [&](const CachedImage& i) { return i.name == image; });
+}
+
+void Machine::touch_image(const std::string& image, double gb) {
+    std::erase_if(images, [&](const CachedImage& i) { return i.name == image; });
+    images.push_back({image, gb});
+    double held = 0;
+    for (const auto& i : images) {
+        held += i.gb;
+    }
+    while (held > type.cache_gb && images.size() > 1) {
+        held -= images.front().gb;
+        images.erase(images.begin());
+    }
+}
+
+bool Machine::has_foreign() const {
+    return std::any_of(foreign.begin(), foreign.end(),
+                       [](const ListedTask& t) { return t.stage != TaskStage::exited; });
+}
+
+Machine* MachineTable::find(const std::string& name) {
+    auto it = machines_.find(name);
+    return it == machines_.end() ? nullptr : &it->second;
+}
+
+Machine& MachineTable::add(Time now, const std::string& name, const MachineType& type,
+                           const std::string& zone, bool spot) {
+    Machine& m = machines_[name];
+    m.name = name;
+    m.type = type;
+    m.zone = zone;
+    m.spot = spot;
+    m.known_since = now;
+    m.idle_since = now;
+    m.lease_end = now + lease_bound_s();
+    return m;
+}
+
+std::vector<ListingResult::Gone> MachineTable::remove(const std::string& name) {
+    std::vector<ListingResult::Gone> gone;
+    auto it = machines_.find(name);
+    if (it == machines_.end()) {
+        return gone;
+    }
+    for (const auto& [task, p] : it->second.tasks) {
+        gone.push_back({task, p, ExitWhy::none});
+    }
+    machines_.erase(it);
+    return gone;
+}
+
+double MachineTable::lease_bound_s() const { return lease_s_ * (1 + kDrift) + margin_s_; }
+
+ListingResult MachineTable::listing(Time now, Machine& m, const Report& report,
+                                    std::uint64_t term, CallId orders) {
+    ListingResult result;
+    if (report.session <= m.lapsed_session) {
+        return result;
+    }
+    if (report.session > m.session) {
+        // Every task of the session before is gone, and no message of ours to it can be
+        // executed any more: responses to it are dropped, direct commands refused.
+        for (auto it = m.tasks.begin(); it != m.tasks.end();) {
+            if (it->second.via == Placement::Via::queued) {
+                ++it;
+            } else {
+                result.gone.push_back({it->first, it->second, ExitWhy::none});
+                it = m.tasks.erase(it);
+            }
+        }
+        m.session = report.session;
+        m.tick = 0;
+        m.images.clear();
+    }
+    bool newer = report.session == m.session && report.tick > m.tick;
+    if (newer) {
+        result.fresh = true;
+        m.tick = report.tick;
+        m.reported = true;
+        m.fenced = report.token >= make_token(term, m.sequence);
+        m.notice_s = report.notice_s;
+        m.foreign.clear();
+        m.finished.clear();
+    }
+    std::map<TaskRef, const ListedTask*> listed;
+    if (newer) {
+        for (const auto& t : report.tasks) {
+            auto it = m.tasks.find(t.task);
+            if (it == m.tasks.end() || it->second.attempt != t.attempt) {
+                m.foreign.push_back(t);
+            } else {
+                listed[t.task] = &t;
+            }
+        }
+    }
+    for (auto it = m.tasks.begin(); it != m.tasks.end();) {
+        Placement& p = it->second;
+        auto seen = listed.find(it->first);
+        if (seen != listed.end()) {
+            const ListedTask& t = *seen->second;
+            if (t.stage == TaskStage::exited) {
+                result.gone.push_back({it->first, p, t.why});
+                m.finished.push_back(t);
+                it = m.tasks.erase(it);
+                continue;
+            }
+            if (t.stage == TaskStage::running && p.stage != TaskStage::running) {
+                p.running_since = now;
+            }
+            p.via = Placement::Via::listed;
+            p.stage = t.stage;
+            ++it;
+            continue;
+        }
+        bool gone = false;
+        switch (p.via) {
+        case Placement::Via::queued: break;
+        case Placement::Via::response:
+            // One report is in flight at a time: a report newer than the one answered shows
+            // that the response was executed before it, or dropped.
+            gone = newer && orders == 0 && report.tick > p.tick;
+            break;
+        case Placement::Via::orders:
+            gone = (orders != 0 && p.call == orders) || (newer && report.token > p.token);
+            break;
+        case Placement::Via::listed: gone = newer; break;
+        }
+        if (gone) {
+            result.gone.push_back({it->first, p, ExitWhy::none});
+            it = m.tasks.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    return result;
+}
+
+void MachineTable::adopt(Time now, Machine& m, const ListedTask& listed, Placement placement) {
+    placement.attempt = listed.attempt;
+    placement.via = Placement::Via::listed;
+    placement.stage = listed.stage;
+    placement.since = now;
+    placement.running_since = now;
+    m.touch_image(placement.image, placement.image_gb);
+    m.tasks[listed.task] = std::move(placement);
+    std::erase_if(m.foreign, [&](const ListedTask& t) {
+        return t.task == listed.task && t.attempt == listed.attempt;
+    });
+}
+
+void MachineTable::fence(Machine& m) {
+    ++m.sequence;
+    m.fenced = false;
+}
+
+void MachineTable::renewed(Time now, Machine& m) {
+    m.lease_end = std::max(m.lease_end, now + lease_bound_s());
+}
+
+std::vector<ListingResult::Gone> MachineTable::lapse(Machine& m) {
+    std::vector<ListingResult::Gone> gone;
+    for (const auto& [task, p] : m.tasks) {
+        gone.push_back({task, p, ExitWhy::none});
+    }
+    m.tasks.clear();
+    m.outbox.clear();
+    m.foreign.clear();
+    m.finished.clear();
+    m.reported = false;
+    m.fenced = false;
+    m.lapsed_session = std::max(m.lapsed_session, m.session);
+    return gone;
+}
+
+bool MachineTable::lapsed(Time now, const Machine& m) const { return now > m.lease_end; }
+
+void MachineTable::queue_start(Time now, Machine& m, const TaskRef& task, Placement placement) {
+    placement.since = now;
+    m.outbox.push_back({Op::start, task, placement.attempt, 0});
+    m.touch_image(placement.image, placement.image_gb);
+    m.tasks[task] = std::move(placement);
+}
+
+std::vector<Command> MachineTable::send_in_response(Machine& m) {
+    std::vector<Command> commands = std::move(m.outbox);
+    m.outbox.clear();
+    for (const auto& c : commands) {
+        Placement& p = m.tasks.at(c.task);
+        p.via = Placement::Via::response;
+        p.tick = m.tick;
+    }
+    return commands;
+}
+
+std::vector<Command> MachineTable::send_directly(Machine& m, std::uint64_t token) {
+    std::vector<Command> commands = std::move(m.outbox);
+    m.outbox.clear();
+    for (const auto& c : commands) {
+        Placement& p = m.tasks.at(c.task);
+        p.via = Placement::Via::orders;
+        p.token = token;
+    }
+    return commands;
+}
+
+void MachineTable::sent_directly(Machine& m, const std::vector<Command>& commands, CallId call) {
+    m.orders = call;
+    for (const auto& c : commands) {
+        m.tasks.at(c.task).call = call;
+    }
+}
+
+std::vector<ListingResult::Gone> MachineTable::unqueue(Machine& m) {
+    std::vector<ListingResult::Gone> gone;
+    m.outbox.clear();
+    for (auto it = m.tasks.begin(); it != m.tasks.end();) {
+        if (it->second.via == Placement::Via::queued) {
+            gone.push_back({it->first, it->second, ExitWhy::none});
+            it = m.tasks.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    return gone;
+}
+
+} // namespace orchidlanding
--- /dev/null
+++ b/src/core/machine_table.h
@@ -0,0 +1,132 @@
+// What is known of each machine: its session, its reports, the tasks that may be on it.
+//
+// The rule that this class keeps: a placement is taken off only when the task is known to be on
+// the machine no longer, or never to come there. See docs/design.md, "Never twice".
+#pragma once
+
+#include <set>
+
+#include "core/io.h"
+
+namespace orchidlanding {
+
+struct Placement {
+    enum class Via {
+        queued,   // not sent yet
+        response, // sent in the response to a report: resolved by the worker's next report
+        orders,   // sent directly: resolved by its answer, or by a report under a higher token
+        listed    // seen in a report
+    };
+    std::uint64_t attempt = 0;
+    Via via = Via::queued;
+    std::uint64_t token = 0; // orders: the token it was sent under
+    std::uint64_t tick = 0;  // response: the report it answered
+    CallId call = 0;         // orders: the call
+    TaskStage stage = TaskStage::fetching;
+    Time since = 0;
+    Time running_since = 0;
+    std::string team;
+    double cpus = 0;
+    double gpus = 0;
+    double ram_gb = 0;
+    std::string image;
+    double image_gb = 0;
+};
+
+struct CachedImage {
+    std::string name;
+    double gb = 0;
+};
+
+struct Machine {
+    std::string name;
+    std::string endpoint;
+    MachineType type;
+    std::string zone;
+    bool spot = false;
+
+    bool reported = false; // to this owner, in a session that has not lapsed
+    bool fenced = false;   // the worker has shown this owner's newest token for it
+    std::uint64_t session = 0;
+    std::uint64_t tick = 0;
+    std::uint64_t lapsed_session = 0; // sessions up to here are over by the clock
+    std::uint64_t sequence = 0;
+    Time last_report = 0;
+    Time known_since = 0;
+    double age_at_known_s = 0;
+    Time lease_end = 0; // by then the worker has given up this session if nobody renews it
+    bool on_roster = false;
+    bool roster_write = false;
+    bool draining = false;
+    bool releasing = false;
+    Time idle_since = 0;
+    std::optional<double> notice_s;
+    int errors = 0; // failed tasks in a row
+    CallId orders = 0;
+    std::map<TaskRef, Placement> tasks;
+    std::vector<Command> outbox;
+    std::vector<ListedTask> foreign; // listed, not ours: they are stopped and cleared
+    std::vector<ListedTask> finished; // exited, cleared once durable
+    std::vector<CachedImage> images; // most recently used last
+
+    double free_cpus() const;
+    double free_gpus() const;
+    double free_ram() const;
+    bool warm(const std::string& image) const;
+    bool has_foreign() const;
+    void touch_image(const std::string& image, double gb);
+};
+
+// What a listing showed of a machine's tasks.
+struct ListingResult {
+    struct Gone {
+        TaskRef task;
+        Placement placement;
+        ExitWhy why = ExitWhy::none; // none: not on the machine, no exit seen
+    };
+    std::vector<Gone> gone;
+    bool fresh = false; // newer than anything seen before
+};
+
+class MachineTable {
+  public:
+    // `margin`: what is added to a lease for delays inside this process, besides drift.
+    MachineTable(double lease_s, double margin_s) : lease_s_(lease_s), margin_s_(margin_s) {}
+
+    Machine* find(const std::string& name);
+    Machine& add(Time now, const std::string& name, const MachineType& type,
+                 const std::string& zone, bool spot);
+    // All tasks of the machine are gone with it.
+    std::vector<ListingResult::Gone> remove(const std::string& name);
+
+    // A report from /v1/report, or the worker's report in the answer to the call `orders`.
+    ListingResult listing(Time now, Machine& machine, const Report& report,
+                          std::uint64_t term, CallId orders);
+    // A listed task that an owner before us started: it is ours now.
+    static void adopt(Time now, Machine& machine, const ListedTask& listed, Placement placement);
+    // No answer to direct commands: they may be executed yet, unless a higher token comes first.
+    void fence(Machine& machine);
+    // A 200 goes out: the worker's lease may run from now on.
+    void renewed(Time now, Machine& machine);
+    // The lease has run out by any clock: everything on the machine is gone.
+    std::vector<ListingResult::Gone> lapse(Machine& machine);
+    bool lapsed(Time now, const Machine& machine) const;
+    double lease_bound_s() const;
+
+    void queue_start(Time now, Machine& machine, const TaskRef& task, Placement placement);
+    // Takes the commands that wait, as sent in the response to the report with this tick.
+    std::vector<Command> send_in_response(Machine& machine);
+    std::vector<Command> send_directly(Machine& machine, std::uint64_t token);
+    void sent_directly(Machine& machine, const std::vector<Command>& commands, CallId call);
+    std::vector<ListingResult::Gone> unqueue(Machine& machine);
+
+    std::map<std::string, Machine>& all() { return machines_; }
+    const std::map<std::string, Machine>& all() const { return machines_; }
+
+  private:
+    double lease_s_;
+    double margin_s_;
+    std::map<std::string, Machine> machines_;
+};
+
+} // namespace orchidlanding
--- /dev/null
+++ b/src/core/part_owner.cpp
@@ -0,0 +1,900 @@
+#include "core/part_owner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string_view>
+#include <tuple>
+#include <utility>
+
+namespace orchidlanding {
+
+namespace {
+constexpr char kPartKey[] = "part/0";
+constexpr char kJobs[] = "job/";
+constexpr char kProgress[] = "done/";
+constexpr char kRoster[] = "machine/0/";
+// Delays of this process that a lease bound allows for, as a part of the lease: a safety bound.
+constexpr double kMargin = 1.0 / 16;
+constexpr std::size_t kMostCommands = 200; // keeps a response well under the 64 KiB allowed
+constexpr int kAttemptBits = 24;
+
+std::uint32_t chunk_tasks(const Facts& facts) {
+    // Four tasks a character of hex, with a quarter of the value left for the rest.
+    return static_cast<std::uint32_t>(std::max(64.0, facts.value_kb * 1024 * 0.75 * 4));
+}
+
+std::string progress_key(const std::string& job, std::uint32_t chunk) {
+    return kProgress + job + "/" + std::to_string(chunk);
+}
+} // namespace
+
+PartOwner::PartOwner(Time now, const Facts& facts, const Policy& policy,
+                     const Authority& authority, StateBudget& budget,
+                     const std::vector<MachineType>& types)
+    : facts_(facts), policy_(policy), authority_(authority),
+      calls_(budget, (authority.term() << 32) + 1), types_(types),
+      term_(authority.term()), since_(now), jobs_(chunk_tasks(facts)),
+      machines_(facts.lease_s, facts.lease_s * kMargin), teams_(facts.teams),
+      fleet_(facts, policy, authority.term()) {
+    load(now, kJobs, "");
+}
+
+const MachineType* PartOwner::type(const std::string& name) const {
+    for (const auto& t : types_) {
+        if (t.name == name) {
+            return &t;
+        }
+    }
+    return nullptr;
+}
+
+std::string PartOwner::roster_key(const std::string& machine) const { return kRoster + machine; }
+
+// ---- Reading what is durable ----
+
+void PartOwner::load(Time now, std::string prefix, std::string after) {
+    bool sent = calls_.send_state(
+        now, StateBudget::Use::user, Range{prefix, after},
+        [this, prefix, after](Time at, CallReply& reply) {
+            if (reply.status != 200) {
+                load_again_ = Range{prefix, after}; // at the next tick
+                return;
+            }
+            if (prefix == kJobs && after.empty()) {
+                watch_from_ = reply.revision; // of the first page: later changes come by watch
+            }
+            for (const auto& item : reply.items) {
+                take_record(at, item);
+            }
+            if (reply.more && !reply.items.empty()) {
+                load(at, prefix, reply.items.back().key);
+            } else {
+                loaded(at, prefix);
+            }
+        });
+    if (!sent) {
+        load_again_ = Range{prefix, after};
+    }
+}
+
+void PartOwner::loaded(Time now, const std::string& prefix) {
+    if (prefix == kJobs) {
+        if (loaded_) {
+            return; // read again because the watch had fallen behind
+        }
+        load(now, kProgress, "");
+    } else if (prefix == kProgress) {
+        load(now, kRoster, "");
+    } else {
+        loaded_ = true;
+        calls_.log(Level::info, "event=part_loaded term=" + std::to_string(term_) +
+                                    " jobs=" + std::to_string(jobs_.all().size()) +
+                                    " machines=" + std::to_string(machines_.all().size()));
+        // Machines that reported while we were reading listed tasks of jobs not known then.
+        for (auto& [name, m] : machines_.all()) {
+            adopt_listed(now, m);
+            relist(m);
+        }
+        settle(now);
+    }
+}
+
+void PartOwner::take_record(Time now, const KeyedRecord& item) {
+    if (item.key.starts_with(kJobs)) {
+        const auto* record = std::get_if<JobRecord>(&item.record);
+        std::string id = item.key.substr(sizeof(kJobs) - 1);
+        if (!record || (record->outcome != Outcome::done && !record->spec)) {
+            calls_.log(Level::error, "event=unreadable_record key=" + item.key);
+            return;
+        }
+        if (record->outcome == Outcome::none) {
+            jobs_.add(now, *record->spec, item.version);
+        } else if (record->outcome == Outcome::cancelled) {
+            // Its tasks may still be on machines and count for their team until they are gone.
+            if (!loaded_ && record->spec) {
+                jobs_.add(now, *record->spec, item.version);
+            }
+            cancelled(now, id);
+        } else {
+            jobs_.final(id, Outcome::done);
+        }
+    } else if (item.key.starts_with(kProgress)) {
+        std::string rest = item.key.substr(sizeof(kProgress) - 1);
+        auto slash = rest.find('/');
+        const auto* record = std::get_if<ProgressRecord>(&item.record);
+        if (!record || slash == std::string::npos) {
+            calls_.log(Level::error, "event=unreadable_record key=" + item.key);
+            return;
+        }
+        jobs_.load_progress(rest.substr(0, slash),
+                            static_cast<std::uint32_t>(std::atoi(rest.c_str() + slash + 1)),
+                            record->done);
+    } else if (item.key.starts_with(kRoster)) {
+        const auto* record = std::get_if<MachineRecord>(&item.record);
+        std::string name = item.key.substr(sizeof(kRoster) - 1);
+        const MachineType* t = record ? type(record->type) : nullptr;
+        if (Machine* m = machines_.find(name)) { // it has reported while we were reading
+            m->on_roster = true;
+            if (!m->fenced) {
+                unaccounted_.insert(name);
+            }
+            return;
+        }
+        if (!t) {
+            calls_.log(Level::error, "event=unreadable_record key=" + item.key);
+            unaccounted_.insert(name); // fenced off: its lease bound is waited out
+            return;
+        }
+        Machine& m = machines_.add(now, name, *t, record->zone, record->spot);
+        m.on_roster = true;
+        m.last_report = now;
+        unaccounted_.insert(name);
+    }
+}
+
+void PartOwner::watch(Time now) {
+    if (watching_ || !loaded_ || now < next_watch_) {
+        return;
+    }
+    watching_ = calls_.send_state(
+        now, StateBudget::Use::user, Watch{kJobs, watch_from_, facts_.lease_s / 3},
+        [this](Time at, CallReply& reply) {
+            watching_ = false;
+            if (reply.status == 200) {
+                watch_from_ = std::max(watch_from_, reply.revision);
+                for (const auto& item : reply.items) {
+                    take_record(at, item);
+                }
+                place(at);
+                send_orders(at);
+                watch(at);
+            } else if (reply.status == 410) {
+                load(at, kJobs, "");
+                next_watch_ = at + 1;
+            } else {
+                next_watch_ = at + 0.5;
+            }
+        });
+}
+
+// Nothing is placed until every machine that may carry a task of an owner before us is accounted
+// for: fenced and listed by its own report, gone by a release, or lapsed by the clock.
+void PartOwner::settle(Time now) {
+    if (settled_ || !loaded_) {
+        return;
+    }
+    if (now > since_ + machines_.lease_bound_s()) {
+        unaccounted_.clear();
+    }
+    std::erase_if(unaccounted_, [&](const std::string& name) {
+        Machine* m = machines_.find(name);
+        return m && m->fenced;
+    });
+    if (unaccounted_.empty()) {
+        settled_ = true;
+        calls_.log(Level::info, "event=part_settled term=" + std::to_string(term_));
+        std::vector<std::string> ids;
+        for (const auto& [id, job] : jobs_.all()) {
+            ids.push_back(id);
+        }
+        for (const auto& id : ids) {
+            forget_if_over(id);
+        }
+        place(now);
+        send_orders(now);
+    }
+}
+
+// ---- Reports ----
+
+void PartOwner::report(Time now, RequestId request, const Report& report) {
+    const MachineType* t = type(report.type);
+    if (!t) {
+        calls_.log(Level::error, "event=unknown_type machine=" + report.machine);
+        calls_.answer(request, 503, Plain{"unknown machine type"}, 1);
+        return;
+    }
+    if (!authority_.valid(now)) {
+        calls_.answer(request, 503, Plain{"not entitled"}, 1);
+        return;
+    }
+    Machine* m = machines_.find(report.machine);
+    if (!m) {
+        if (fleet_.was_released(now, report.machine)) { // a message from the dead
+            calls_.answer(request, 503, Plain{"released"}, 1);
+            return;
+        }
+        m = &machines_.add(now, report.machine, *t, report.zone, report.spot);
+        m->last_report = now;
+        calls_.log(Level::info, "event=machine_adopted machine=" + report.machine);
+    }
+    if (m->releasing || report.session <= m->lapsed_session) {
+        calls_.answer(request, 503, Plain{"session is over"}, 1);
+        return;
+    }
+    bool current = report.session > m->session ||
+                   (report.session == m->session && report.tick > m->tick);
+    m->endpoint = report.endpoint;
+    m->zone = report.zone;
+    m->spot = report.spot;
+    if (!m->reported) {
+        m->idle_since = now;
+    }
+    m->last_report = now;
+    if (!m->on_roster && !m->roster_write) {
+        write_roster(now, *m);
+    }
+    apply(now, *m, report, 0);
+    settle(now);
+    place(now);
+    ReportAnswer answer{make_token(term_, m->sequence), {}};
+    if (current) {
+        upkeep(now, *m, answer.commands);
+        if (m->fenced) {
+            auto starts = machines_.send_in_response(*m);
+            answer.commands.insert(answer.commands.end(), starts.begin(), starts.end());
+        }
+    }
+    machines_.renewed(now, *m);
+    calls_.answer(request, 200, std::move(answer));
+    send_orders(now);
+}
+
+void PartOwner::apply(Time now, Machine& m, const Report& report, CallId orders) {
+    ListingResult result = machines_.listing(now, m, report, term_, orders);
+    for (const auto& g : result.gone) {
+        gone(now, m.name, g);
+    }
+    if (result.fresh) {
+        adopt_listed(now, m);
+    }
+    if (m.notice_s || m.errors >= policy_.sick_errors) {
+        for (const auto& g : machines_.unqueue(m)) {
+            gone(now, m.name, g);
+        }
+        if (!m.draining) {
+            calls_.log(Level::info, "event=machine_drains machine=" + m.name +
+                                        (m.notice_s ? " why=notice" : " why=errors"));
+        }
+        m.draining = true;
+    }
+    relist(m);
+}
+
+void PartOwner::gone(Time now, const std::string& machine, const ListingResult::Gone& g) {
+    const Placement& p = g.placement;
+    teams_.free(p.team, p.cpus, p.gpus);
+    Machine* m = machines_.find(machine);
+    if (m && m->tasks.empty()) {
+        m->idle_since = now;
+    }
+    Job* job = jobs_.find(g.task.job);
+    if (!job) {
+        return;
+    }
+    jobs_.unplace(*job, g.task.index, m ? m->zone : "");
+    if (m && g.why == ExitWhy::done) {
+        m->errors = 0;
+    }
+    if (job->open() && g.why == ExitWhy::done) {
+        jobs_.finish(*job, g.task.index);
+        job->failures = 0;
+        if (job->complete()) {
+            finish_job(now, *job);
+        }
+    } else if (g.why == ExitWhy::error || g.why == ExitWhy::unknown) {
+        calls_.log(Level::info, "event=task_failed task=" + g.task.job + "/" +
+                                    std::to_string(g.task.index) + " machine=" + machine);
+        // A job that has failed on machine after machine is at fault itself, so it no longer
+        // counts against the machines.
+        if (m && job->failures < policy_.sick_errors) {
+            ++m->errors;
+        }
+        ++job->failures;
+        if (job->failures >= policy_.sick_errors) {
+            double steps = std::min(6.0, job->failures - policy_.sick_errors);
+            job->hold_until = now + facts_.report_s * std::pow(2.0, steps);
+        }
+    }
+    forget_if_over(g.task.job);
+}
+
+// Tasks that an owner before us started come to light through the listing.
+void PartOwner::adopt_listed(Time now, Machine& m) {
+    std::vector<ListedTask> listed = m.foreign;
+    for (const auto& t : listed) {
+        Job* job = jobs_.find(t.task.job);
+        if (!job || t.task.index >= job->spec.tasks ||
+            job->tasks[t.task.index] != TaskState::waiting || m.tasks.contains(t.task)) {
+            continue;
+        }
+        const JobSpec& s = job->spec;
+        if (t.stage == TaskStage::exited) {
+            if (t.why == ExitWhy::done && job->open()) {
+                jobs_.finish(*job, t.task.index);
+                m.finished.push_back(t);
+                std::erase_if(m.foreign, [&](const ListedTask& f) { return f.task == t.task; });
+                if (job->complete()) {
+                    finish_job(now, *job);
+                }
+            }
+            continue;
+        }
+        Placement p;
+        p.team = s.team;
+        p.cpus = s.cpus;
+        p.gpus = s.gpus;
+        p.ram_gb = s.ram_gb;
+        p.image = s.image;
+        p.image_gb = s.image_gb;
+        MachineTable::adopt(now, m, t, std::move(p));
+        jobs_.place(*job, t.task.index, m.zone);
+        teams_.use(s.team, s.cpus, s.gpus);
+    }
+}
+
+// Clears and stops for what is on the machine and should not be. Both can be repeated.
+void PartOwner::upkeep(Time, Machine& m, std::vector<Command>& out) {
+    if (!loaded_) {
+        return; // what is not known yet may be a job's rightful task
+    }
+    for (const auto& t : m.finished) {
+        Job* job = jobs_.find(t.task.job);
+        bool durable = !job || !job->open() || t.why != ExitWhy::done ||
+                       (t.task.index < job->spec.tasks && jobs_.durable(*job, t.task.index));
+        if (durable && out.size() < kMostCommands) {
+            out.push_back({Op::clear, t.task, t.attempt, 0});
+        }
+    }
+    for (const auto& t : m.foreign) {
+        if (out.size() >= kMostCommands) {
+            break;
+        }
+        if (t.stage == TaskStage::exited) {
+            out.push_back({Op::clear, t.task, t.attempt, 0});
+        } else {
+            out.push_back({Op::stop, t.task, t.attempt, 0});
+        }
+    }
+    for (const auto& [task, p] : m.tasks) {
+        Job* job = jobs_.find(task.job);
+        if ((!job || !job->open()) && p.via == Placement::Via::listed &&
+            out.size() < kMostCommands) {
+            out.push_back({Op::stop, task, p.attempt, 0});
+        }
+    }
+}
+
+// ---- Placing ----
+
+bool PartOwner::may_place(const Machine& m) const {
+    return m.reported && m.fenced && m.on_roster && !m.draining && !m.releasing && !m.notice_s &&
+           !m.has_foreign() && m.errors < policy_.sick_errors;
+}
+
+void PartOwner::relist(Machine& m) {
+    slots_.set({m.type.name, m.spot}, m.name,
+               may_place(m) ? slots_idle(m.free_cpus(), m.free_ram(), m.type) : 0);
+}
+
+bool PartOwner::zone_allowed(const Job& job, const std::string& zone) const {
+    const JobSpec& s = job.spec;
+    if (s.zone && *s.zone != zone) {
+        return false;
+    }
+    if (s.one_zone && !job.zone_use.empty() && !job.zone_use.contains(zone)) {
+        return false;
+    }
+    if (s.spread) {
+        auto it = job.zone_use.find(zone);
+        std::uint32_t there = it == job.zone_use.end() ? 0 : it->second;
+        if (there + 1 > (s.tasks + 1) / 2) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool PartOwner::place_one(Time now, Job& job, std::uint32_t task) {
+    const JobSpec& s = job.spec;
+    const std::string* found = nullptr;
+    // Spot machines first where the job may use them, so that ordinary ones stay free for jobs
+    // that may not; a machine that has the image before one that has to fetch it.
+    for (bool spot : {true, false}) {
+        if (spot && !s.spot) {
+            continue;
+        }
+        for (bool warm : {true, false}) {
+            for (const auto& t : types_) {
+                if (s.types &&
+                    std::find(s.types->begin(), s.types->end(), t.name) == s.types->end()) {
+                    continue;
+                }
+                found = slots_.pop({t.name, spot}, slots_needed(t, s.cpus, s.ram_gb),
+                                   [&](const std::string& name) {
+                                       const Machine& m = *machines_.find(name);
+                                       return zone_allowed(job, m.zone) &&
+                                              m.free_cpus() >= s.cpus &&
+                                              m.free_ram() >= s.ram_gb &&
+                                              m.free_gpus() >= s.gpus && m.orders == 0 &&
+                                              (!warm || m.warm(s.image));
+                                   });
+                if (found) {
+                    break;
+                }
+            }
+            if (found) {
+                break;
+            }
+        }
+        if (found) {
+            break;
+        }
+    }
+    if (!found) {
+        return false;
+    }
+    Machine& m = *machines_.find(*found);
+    Placement p;
+    p.attempt = (term_ << kAttemptBits) + next_attempt_++;
+    p.team = s.team;
+    p.cpus = s.cpus;
+    p.gpus = s.gpus;
+    p.ram_gb = s.ram_gb;
+    p.image = s.image;
+    p.image_gb = s.image_gb;
+    machines_.queue_start(now, m, {s.id, task}, std::move(p));
+    jobs_.place(job, task, m.zone);
+    teams_.use(s.team, s.cpus, s.gpus);
+    relist(m);
+    return true;
+}
+
+void PartOwner::place(Time now) {
+    if (!settled_ || !authority_.valid(now)) {
+        return;
+    }
+    std::vector<Job*> waiting;
+    for (const auto& [id, job] : jobs_.all()) {
+        if (job->open() && !job->waiting.empty() && now >= job->hold_until &&
+            job->spec.kind == JobKind::array) {
+            waiting.push_back(job.get());
+        }
+    }
+    auto rank = [this](const Job* j) {
+        bool borrows = !teams_.within_guarantee(j->spec.team, j->spec.cpus, j->spec.gpus);
+        return std::tuple(j->spec.priority, borrows, j->known_since, std::string_view(j->spec.id));
+    };
+    auto order = [&](const Job* a, const Job* b) { return rank(a) < rank(b); };
+    std::sort(waiting.begin(), waiting.end(), order);
+    using Shape = std::tuple<double, double, double, bool>;
+    std::set<Shape> full;
+    for (Job* job : waiting) {
+        const JobSpec& s = job->spec;
+        bool plain = !s.types && !s.zone && !s.one_zone && !s.spread;
+        Shape shape{s.cpus, s.gpus, s.ram_gb, s.spot};
+        if (plain && full.contains(shape)) {
+            continue; // no slot for its like a moment ago, so none now
+        }
+        while (!job->waiting.empty() && teams_.fits(s.team, s.cpus, s.gpus)) {
+            if (!place_one(now, *job, *job->waiting.begin())) {
+                if (plain) {
+                    full.insert(shape);
+                }
+                break;
+            }
+        }
+    }
+}
+
+void PartOwner::send_orders(Time now) {
+    if (!authority_.valid(now)) {
+        return;
+    }
+    for (auto& [name, m] : machines_.all()) {
+        if (m.outbox.empty() || m.orders != 0 || !m.fenced) {
+            continue;
+        }
+        std::uint64_t token = make_token(term_, m.sequence);
+        auto commands = machines_.send_directly(m, token);
+        CallId call = calls_.send(
+            Orders{name, m.endpoint, token, m.session, commands},
+            [this, name = name](Time at, CallReply& reply) {
+                Machine* machine = machines_.find(name);
+                if (!machine || machine->orders != reply.call) {
+                    return;
+                }
+                machine->orders = 0;
+                if (reply.report && reply.report->machine == name &&
+                    (reply.status == 200 || reply.status == 409)) {
+                    apply(at, *machine, *reply.report, reply.call);
+                } else {
+                    machines_.fence(*machine);
+                    relist(*machine);
+                    calls_.log(Level::info, "event=orders_unanswered machine=" + name);
+                }
+                place(at);
+                send_orders(at);
+            });
+        machines_.sent_directly(m, commands, call);
+    }
+}
+
+void PartOwner::check_leases(Time now) {
+    for (auto& [name, m] : machines_.all()) {
+        if (!machines_.lapsed(now, m) || (!m.reported && m.tasks.empty())) {
+            continue;
+        }
+        calls_.log(Level::info, "event=machine_lapsed machine=" + name);
+        for (const auto& g : machines_.lapse(m)) {
+            gone(now, name, g);
+        }
+        relist(m);
+    }
+}
+
+bool PartOwner::deaf(Time now) const {
+    Time newest = since_;
+    std::size_t reported = 0;
+    for (const auto& [name, m] : machines_.all()) {
+        reported += m.reported;
+        newest = std::max(newest, m.last_report);
+    }
+    // One or two machines may well be gone by themselves.
+    return reported > 2 && now - newest > facts_.lease_s / 3;
+}
+
+bool PartOwner::counts(const std::string& id, std::uint32_t& done, std::uint32_t& running) {
+    Job* job = jobs_.find(id);
+    if (!job) {
+        return false;
+    }
+    done = job->done;
+    running = job->placed;
+    return true;
+}
+
+// ---- Durable writes ----
+
+Txn PartOwner::guarded() const { return Txn{{{kPartKey, term_}}, {}}; }
+
+// Did the write take effect? Also notices when it was refused because the part is ours no more.
+bool PartOwner::wrote(const CallReply& reply, const char* what) {
+    if (reply.status == 200) {
+        return true;
+    }
+    if (std::find(reply.failed.begin(), reply.failed.end(), kPartKey) != reply.failed.end()) {
+        deposed_ = true;
+    }
+    calls_.log(Level::info, std::string("event=write_failed what=") + what +
+                                " status=" + std::to_string(reply.status));
+    return false;
+}
+
+void PartOwner::write_roster(Time now, Machine& m) {
+    Txn txn = guarded();
+    txn.then.push_back({roster_key(m.name), MachineRecord{m.type.name, m.zone, m.spot}, {}});
+    m.roster_write = calls_.send_state(now, StateBudget::Use::user, std::move(txn),
+                                       [this, name = m.name](Time at, CallReply& reply) {
+                                           bool ok = wrote(reply, "roster");
+                                           Machine* machine = machines_.find(name);
+                                           if (!machine) {
+                                               return;
+                                           }
+                                           machine->roster_write = false;
+                                           if (ok) {
+                                               machine->on_roster = true;
+                                               relist(*machine);
+                                               place(at);
+                                               send_orders(at);
+                                           }
+                                       });
+}
+
+void PartOwner::save_progress(Time now) {
+    if (saving_ || !loaded_) {
+        return;
+    }
+    auto dirty = jobs_.dirty(static_cast<std::size_t>(facts_.txn_ops));
+    if (dirty.empty()) {
+        return;
+    }
+    Txn txn = guarded();
+    std::size_t room = 48 * 1024; // of the 64 KiB that a transaction may have
+    std::size_t n = 0;
+    for (; n < dirty.size(); ++n) {
+        auto bits = jobs_.chunk_bits(*jobs_.find(dirty[n].job), dirty[n].chunk);
+        std::size_t size = bits.size() / 4 + 128;
+        if (size > room) {
+            break;
+        }
+        room -= size;
+        txn.then.push_back({progress_key(dirty[n].job, dirty[n].chunk),
+                            ProgressRecord{std::move(bits)},
+                            {}});
+    }
+    dirty.resize(n);
+    saving_ = calls_.send_state(now, StateBudget::Use::progress, std::move(txn),
+                                [this, dirty](Time at, CallReply& reply) {
+                                    saving_ = false;
+                                    next_save_ = at + facts_.report_s / 3;
+                                    if (wrote(reply, "progress")) {
+                                        for (const auto& chunk : dirty) {
+                                            jobs_.saved(chunk);
+                                        }
+                                    }
+                                });
+}
+
+// The job's outcome and the end of its progress keys are one write; only then is it done.
+void PartOwner::finish_job(Time now, Job& job) {
+    if (job.finishing) {
+        return;
+    }
+    Txn txn = guarded();
+    std::string id = job.spec.id;
+    txn.when.push_back({kJobs + id, job.version});
+    txn.then.push_back({kJobs + id, JobRecord{Outcome::done, {}}, {}});
+    for (std::uint32_t c = 0; c < jobs_.chunks(job); ++c) {
+        if (job.chunk_saved[c] > 0 && static_cast<int>(txn.then.size()) < facts_.txn_ops) {
+            txn.then.push_back({progress_key(id, c), {}, {}});
+        }
+    }
+    job.finishing = calls_.send_state(
+        now, StateBudget::Use::user, std::move(txn), [this, id](Time at, CallReply& reply) {
+            Job* j = jobs_.find(id);
+            if (j) {
+                j->finishing = false;
+            }
+            if (wrote(reply, "outcome")) {
+                calls_.log(Level::info, "event=job_done job=" + id);
+                jobs_.final(id, Outcome::done);
+                jobs_.drop(id);
+            } else if (reply.status == 409 && !deposed_) {
+                reread_job(at, id);
+            }
+        });
+}
+
+// Its key has changed under us: a cancel came first, or our own write took effect unseen.
+void PartOwner::reread_job(Time now, const std::string& id) {
+    calls_.send_state(now, StateBudget::Use::user, Get{kJobs + id},
+                      [this, id](Time at, CallReply& reply) {
+                          if (reply.status != 200 || reply.items.empty()) {
+                              return;
+                          }
+                          const auto* record = std::get_if<JobRecord>(&reply.items[0].record);
+                          if (record && record->outcome == Outcome::cancelled) {
+                              cancelled(at, id);
+                          } else if (record && record->outcome == Outcome::done) {
+                              jobs_.final(id, Outcome::done);
+                              jobs_.drop(id);
+                          }
+                      });
+}
+
+void PartOwner::cancelled(Time, const std::string& id) {
+    if (jobs_.cancel(id)) {
+        calls_.log(Level::info, "event=job_cancelled job=" + id);
+        for (auto& [name, m] : machines_.all()) { // starts that are not out yet never go out
+            std::erase_if(m.outbox, [&](const Command& c) { return c.task.job == id; });
+            for (auto it = m.tasks.begin(); it != m.tasks.end();) {
+                if (it->first.job == id && it->second.via == Placement::Via::queued) {
+                    ListingResult::Gone g{it->first, it->second, ExitWhy::none};
+                    it = m.tasks.erase(it);
+                    Job* job = jobs_.find(id);
+                    teams_.free(g.placement.team, g.placement.cpus, g.placement.gpus);
+                    jobs_.unplace(*job, g.task.index, m.zone);
+                } else {
+                    ++it;
+                }
+            }
+            relist(m);
+        }
+    }
+    forget_if_over(id);
+}
+
+void PartOwner::forget_if_over(const std::string& id) {
+    Job* job = jobs_.find(id);
+    if (job && settled_ && job->outcome == Outcome::cancelled && job->placed == 0) {
+        jobs_.final(id, Outcome::cancelled);
+        jobs_.drop(id);
+    }
+}
+
+// ---- The cloud ----
+
+Demand PartOwner::demand(Time) const {
+    // Per team: what runs, and what must run to have the waiting work done within the horizon,
+    // up to the team's limit.
+    struct Need {
+        double ordinary = 0;
+        double any = 0;
+    };
+    std::map<std::string, Need> needs;
+    for (const auto& [id, job] : jobs_.all()) {
+        const JobSpec& s = job->spec;
+        if (!job->open() || types_.empty()) {
+            continue;
+        }
+        const MachineType& t = types_.front();
+        double cpus = slots_needed(t, s.cpus, s.ram_gb);
+        double horizon = policy_.rent_horizon_s * t.boot_s;
+        double waiting = static_cast<double>(job->waiting.size());
+        double pace = std::min(1.0, std::max(s.estimate_s, 1.0) / horizon);
+        // A task longer than the horizon needs a place of its own.
+        double want = (job->placed + std::ceil(waiting * pace)) * cpus;
+        (s.spot ? needs[s.team].any : needs[s.team].ordinary) += want;
+    }
+    Demand d;
+    for (auto& [team, need] : needs) {
+        const TeamFacts* f = teams_.facts(team);
+        double most = f ? f->cpus_max : 0;
+        double total = need.ordinary + need.any;
+        double cut = total > most && total > 0 ? most / total : 1;
+        d.ordinary_cpus += need.ordinary * cut;
+        d.any_cpus += need.any * cut;
+    }
+    return d;
+}
+
+void PartOwner::run_fleet(Time now) {
+    for (const Rent& rent : fleet_.rent(now, demand(now), types_, machines_)) {
+        calls_.log(Level::info, "event=rent order=" + rent.order + " zone=" + rent.zone +
+                                    " spot=" + (rent.spot ? "1" : "0") +
+                                    " count=" + std::to_string(rent.count));
+        calls_.send(rent, [this, rent](Time at, CallReply& reply) {
+            fleet_.rented(at, rent, reply.status, reply.names.size());
+            const MachineType* t = type(rent.type);
+            for (const auto& name : reply.names) {
+                if (t && !machines_.find(name) && !fleet_.was_released(at, name)) {
+                    machines_.add(at, name, *t, rent.zone, rent.spot);
+                }
+            }
+        });
+    }
+    bool may_suspect = settled_ && now - since_ > machines_.lease_bound_s();
+    auto surplus = fleet_.surplus(now, machines_, may_suspect);
+    if (!surplus.empty()) {
+        release(now, surplus);
+    }
+}
+
+void PartOwner::release(Time, std::vector<std::string> names) {
+    names.resize(std::min<std::size_t>(names.size(), 100));
+    for (const auto& name : names) {
+        Machine& m = *machines_.find(name);
+        m.releasing = true;
+        relist(m);
+        calls_.log(Level::info, "event=release machine=" + name +
+                                    " tasks=" + std::to_string(m.tasks.size()));
+    }
+    calls_.send(Release{names}, [this, names](Time at, CallReply& reply) {
+        for (const auto& name : names) {
+            Machine* m = machines_.find(name);
+            if (!m) {
+                continue;
+            }
+            if (reply.status != 200) {
+                m->releasing = false; // it is still a surplus: the next round tries again
+                relist(*m);
+                continue;
+            }
+            fleet_.released(at, name);
+            slots_.remove(name);
+            unaccounted_.erase(name);
+            bool on_roster = m->on_roster;
+            std::string zone = m->zone;
+            for (const auto& g : m->tasks) {
+                if (Job* job = jobs_.find(g.first.job)) {
+                    jobs_.unplace(*job, g.first.index, zone);
+                }
+                teams_.free(g.second.team, g.second.cpus, g.second.gpus);
+            }
+            machines_.remove(name);
+            if (on_roster) {
+                Txn txn = guarded();
+                txn.then.push_back({roster_key(name), {}, {}});
+                // Lost, it only costs a later owner a wait.
+                calls_.send_state(at, StateBudget::Use::user, std::move(txn),
+                                  [this](Time, CallReply& r) { wrote(r, "roster"); });
+            }
+        }
+        settle(at);
+        place(at);
+        send_orders(at);
+    });
+}
+
+void PartOwner::list_hosts(Time, std::string after) {
+    listing_ = true;
+    calls_.send(ListHosts{after}, [this](Time at, CallReply& reply) {
+        listing_ = false;
+        next_list_ = at + facts_.list_lag_s / 2;
+        if (reply.status != 200) {
+            return;
+        }
+        for (const auto& host : reply.hosts) {
+            saw_host(at, host);
+        }
+        if (reply.more && !reply.hosts.empty()) {
+            list_hosts(at, reply.hosts.back().name);
+        }
+    });
+}
+
+void PartOwner::saw_host(Time now, const Host& host) {
+    Machine* m = machines_.find(host.name);
+    if (!m) {
+        const MachineType* t = type(host.type);
+        if (!t || fleet_.was_released(now, host.name)) {
+            return;
+        }
+        m = &machines_.add(now, host.name, *t, host.zone, host.spot);
+        m->age_at_known_s = host.age_s;
+        m->endpoint = host.endpoint;
+        // It may be up, and carry tasks, but if so it is on the roster as well.
+    }
+    if (host.stage == HostStage::failed && !m->releasing) {
+        calls_.log(Level::info, "event=machine_failed machine=" + host.name);
+        release(now, {host.name});
+    }
+}
+
+// ---- Time ----
+
+void PartOwner::tick(Time now) {
+    if (load_again_) {
+        Range again = *std::exchange(load_again_, std::nullopt);
+        load(now, again.prefix, again.after);
+    }
+    if (!loaded_) {
+        return;
+    }
+    if (!authority_.valid(now)) {
+        return;
+    }
+    check_leases(now);
+    settle(now);
+    watch(now);
+    for (const auto& [id, job] : jobs_.all()) {
+        if (job->open() && job->complete()) {
+            finish_job(now, *job);
+        }
+    }
+    if (now >= next_save_) {
+        save_progress(now);
+    }
+    if (now >= next_list_ && !listing_) {
+        list_hosts(now, "");
+    }
+    if (now >= next_fleet_) {
+        next_fleet_ = now + facts_.report_s / 3;
+        run_fleet(now);
+    }
+    place(now);
+    send_orders(now);
+}
+
+} // namespace orchidlanding
--- /dev/null
+++ b/src/core/state_budget.h
@@ -0,0 +1,29 @@
+// Shares out the state service's request and write limits, which all nodes use together.
+#pragma once
+
+#include "core/types.h"
+
+namespace orchidlanding {
+
+class StateBudget {
+  public:
+    enum class Use { renewal, user, progress, poll };
+
+    StateBudget(double rps, double write_rps, int nodes);
+    // Takes one request and `writes` changes, or says that this use must wait.
+    bool take(Time now, Use use, int writes);
+    // The service said 429: the other nodes use more than we thought.
+    void refused(Time now);
+
+  private:
+    void refill(Time now);
+
+    double rps_;
+    double write_rps_;
+    double requests_;
+    double writes_;
+    Time last_ = 0;
+    Time pause_until_ = 0;
+};
+
+} // namespace orchidlanding
--- /dev/null
+++ b/src/core/teams.h
@@ -0,0 +1,27 @@
+// Guarantees and limits of the teams, and what their tasks use: placed and doubtful ones alike.
+#pragma once
+
+#include "core/types.h"
+
+namespace orchidlanding {
+
+class Teams {
+  public:
+    explicit Teams(const std::vector<TeamFacts>& facts);
+
+    const TeamFacts* facts(const std::string& team) const;
+    bool fits(const std::string& team, double cpus, double gpus) const;
+    bool within_guarantee(const std::string& team, double cpus, double gpus) const;
+    void use(const std::string& team, double cpus, double gpus);
+    void free(const std::string& team, double cpus, double gpus);
+
+  private:
+    struct Team {
+        TeamFacts facts;
+        double cpus = 0;
+        double gpus = 0;
+    };
+    std::map<std::string, Team> teams_;
+};
+
+} // namespace orchidlanding
--- /dev/null
+++ b/src/core/types.h
@@ -0,0 +1,166 @@
+// Plain data that the core works on. Names are the field's; wire names live in the codec only.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace orchidlanding {
+
+// Seconds of the steady clock.
+using Time = double;
+
+enum class JobKind { array, gang, service };
+enum class Priority { production, high, normal, low };
+enum class Outcome { none, done, cancelled };
+
+struct JobSpec {
+    std::string id;
+    std::string job_class;
+    std::string team;
+    JobKind kind = JobKind::array;
+    Priority priority = Priority::normal;
+    std::uint32_t tasks = 0;
+    double cpus = 0;
+    double gpus = 0;
+    double ram_gb = 0;
+    std::string image;
+    double image_gb = 0;
+    std::optional<std::vector<std::string>> types;
+    std::optional<std::string> zone;
+    bool one_zone = false;
+    bool spread = false;
+    bool spot = false;
+    double estimate_s = 0;
+    double checkpoint_s = 0;
+    double save_s = 0;
+    std::optional<double> deadline_s;
+};
+
+struct TaskRef {
+    std::string job;
+    std::uint32_t index = 0;
+    auto operator<=>(const TaskRef&) const = default;
+};
+
+enum class TaskStage { fetching, waiting, running, saving, exited };
+enum class ExitWhy { none, done, stopped, peers, alone, error, no_room, busy, unknown };
+
+struct ListedTask {
+    TaskRef task;
+    std::uint64_t attempt = 0;
+    TaskStage stage = TaskStage::running;
+    ExitWhy why = ExitWhy::none;
+};
+
+struct Report {
+    std::string machine;
+    std::string endpoint;
+    std::string type;
+    std::string zone;
+    bool spot = false;
+    std::uint64_t session = 0;
+    std::uint64_t tick = 0;
+    std::uint64_t token = 0;
+    std::optional<double> notice_s;
+    std::vector<ListedTask> tasks;
+};
+
+enum class Op { start, stop, clear };
+
+struct Command {
+    Op op = Op::start;
+    TaskRef task;
+    std::uint64_t attempt = 0;
+    double grace_s = 0;
+};
+
+struct MachineType {
+    std::string name;
+    double cpus = 0;
+    double gpus = 0;
+    double ram_gb = 0;
+    double cache_gb = 0;
+    double fetch_gb_per_s = 0;
+    double price = 0;
+    double spot_price = 0;
+    double boot_s = 0;
+    std::vector<std::string> zones;
+};
+
+enum class HostStage { booting, running, failed };
+
+struct Host {
+    std::string name;
+    std::string endpoint;
+    std::string type;
+    std::string zone;
+    bool spot = false;
+    HostStage stage = HostStage::booting;
+    double age_s = 0;
+};
+
+// What the state service holds, by kind of key.
+struct JobRecord { // job/<id>; a final record keeps the outcome only
+    Outcome outcome = Outcome::none;
+    std::optional<JobSpec> spec;
+};
+struct ProgressRecord { // done/<id>/<chunk>
+    std::vector<bool> done;
+};
+struct PartRecord { // part/<p>
+    std::string node;
+};
+struct MachineRecord { // machine/<part>/<name>
+    std::string type;
+    std::string zone;
+    bool spot = false;
+};
+struct Unreadable {};
+using Record = std::variant<Unreadable, JobRecord, ProgressRecord, PartRecord, MachineRecord>;
+
+struct KeyedRecord {
+    std::string key;
+    Record record;
+    std::uint64_t version = 0;
+};
+
+struct TeamFacts {
+    std::string name;
+    double cpus = 0;
+    double cpus_max = 0;
+    double gpus = 0;
+    double gpus_max = 0;
+};
+
+// The platform's settings, as far as the core needs them.
+struct Facts {
+    std::string node;
+    std::vector<std::string> siblings;
+    std::vector<std::string> zones;
+    std::vector<TeamFacts> teams;
+    double report_s = 0;
+    double lease_s = 0;
+    double cancel_s = 0;
+    double state_rps = 0;
+    double state_write_rps = 0;
+    double value_kb = 0;
+    int txn_ops = 0;
+    double cloud_rps = 0;
+    double list_lag_s = 0;
+};
+
+// Ratios that operators may set; the defaults stand in policy/defaults.
+struct Policy {
+    double part_lease_s = 0;
+    double idle_return_s = 0;
+    double rent_horizon_s = 0;
+    double boot_limit_s = 0;
+    double capacity_backoff_s = 0;
+    double sick_errors = 0;
+};
+
+} // namespace orchidlanding
--- /dev/null
+++ b/src/core/user_desk.cpp
@@ -0,0 +1,186 @@
+#include "core/user_desk.h"
+
+#include <algorithm>
+
+namespace orchidlanding {
+
+namespace {
+constexpr std::size_t kFinals = 10000;
+
+std::string key_of(const std::string& job) { return "job/" + job; }
+
+const char* stage_of(Outcome outcome) {
+    switch (outcome) {
+    case Outcome::none: return "pending";
+    case Outcome::done: return "done";
+    case Outcome::cancelled: return "cancelled";
+    }
+    return "pending";
+}
+} // namespace
+
+std::string UserDesk::refusal(const JobSpec& s, const std::vector<MachineType>& types) const {
+    const TeamFacts* team = teams_.facts(s.team);
+    if (!team) {
+        return "unknown team";
+    }
+    double times = s.kind == JobKind::array ? 1 : s.tasks;
+    if (s.cpus * times > team->cpus_max || s.gpus * times > team->gpus_max) {
+        return "over the team's limit";
+    }
+    bool fits = std::any_of(types.begin(), types.end(), [&](const MachineType& t) {
+        bool allowed = !s.types || std::find(s.types->begin(), s.types->end(), t.name) !=
+                                       s.types->end();
+        bool here = !s.zone || std::find(t.zones.begin(), t.zones.end(), *s.zone) != t.zones.end();
+        return allowed && here && s.cpus <= t.cpus && s.gpus <= t.gpus && s.ram_gb <= t.ram_gb;
+    });
+    return fits ? "" : "fits no allowed machine type";
+}
+
+void UserDesk::remember(const std::string& id, Outcome outcome) {
+    if (finals_.emplace(id, outcome).second) {
+        finals_order_.push_back(id);
+        if (finals_order_.size() > kFinals) {
+            finals_.erase(finals_order_.front());
+            finals_order_.pop_front();
+        }
+    }
+}
+
+bool UserDesk::answer_final(RequestId request, const std::string& id, int status) {
+    auto it = finals_.find(id);
+    if (it == finals_.end()) {
+        return false;
+    }
+    calls_.answer(request, status, JobAnswer{id, stage_of(it->second), {}, {}});
+    return true;
+}
+
+void UserDesk::submit(Time now, const Submit& submit, const std::vector<MachineType>& types) {
+    const JobSpec& spec = submit.spec;
+    // An accepted job's retry is answered with its state, whatever the settings say today; so
+    // the job is looked for before it is refused.
+    if (answer_final(submit.request, spec.id, 200)) {
+        return;
+    }
+    if (types.empty()) {
+        calls_.answer(submit.request, 503, Plain{"machine types not known yet"}, 1);
+        return;
+    }
+    std::string why = refusal(spec, types);
+    if (why.empty() && spec.kind == JobKind::array) {
+        create(now, submit.request, spec);
+        return;
+    }
+    bool sent = calls_.send_state(
+        now, StateBudget::Use::user, Get{key_of(spec.id)},
+        [this, request = submit.request, id = spec.id, why](Time, CallReply& reply) {
+            if (reply.status == 200) {
+                calls_.answer(request, 200, JobAnswer{id, "pending", {}, {}});
+            } else if (reply.status != 404) {
+                busy(request);
+            } else if (!why.empty()) {
+                calls_.answer(request, 422, Plain{why});
+            } else {
+                calls_.answer(request, 503, Plain{"this kind of job is not served yet"}, 30);
+            }
+        });
+    if (!sent) {
+        busy(submit.request);
+    }
+}
+
+void UserDesk::create(Time now, RequestId request, const JobSpec& spec) {
+    Txn txn;
+    txn.when.push_back({key_of(spec.id), 0});
+    txn.then.push_back({key_of(spec.id), JobRecord{Outcome::none, spec}, {}});
+    bool sent = calls_.send_state(
+        now, StateBudget::Use::user, std::move(txn),
+        [this, request, id = spec.id](Time at, CallReply& reply) {
+            if (reply.status == 200) {
+                calls_.answer(request, 201, JobAnswer{id, "pending", {}, {}});
+            } else if (reply.status == 409) {
+                read(at, StateBudget::Use::user, request, id, [=, this](Time, const KeyedRecord&) {
+                    calls_.answer(request, 200, JobAnswer{id, "pending", {}, {}});
+                });
+            } else {
+                busy(request);
+            }
+        });
+    if (!sent) {
+        busy(request);
+    }
+}
+
+void UserDesk::read(Time now, StateBudget::Use use, RequestId request, const std::string& id,
+                    Open then) {
+    bool sent = calls_.send_state(
+        now, use, Get{key_of(id)}, [this, request, id, then](Time at, CallReply& reply) {
+            if (reply.status == 404) {
+                calls_.answer(request, 404, Plain{"no such job"});
+                return;
+            }
+            if (reply.status != 200 || reply.items.empty()) {
+                busy(request);
+                return;
+            }
+            const auto* record = std::get_if<JobRecord>(&reply.items[0].record);
+            if (!record) {
+                calls_.log(Level::error, "event=unreadable_record key=" + key_of(id));
+                busy(request);
+            } else if (record->outcome != Outcome::none) {
+                remember(id, record->outcome);
+                answer_final(request, id, 200);
+            } else {
+                then(at, reply.items[0]);
+            }
+        });
+    if (!sent) {
+        busy(request);
+    }
+}
+
+void UserDesk::poll(Time now, const Poll& poll, const Counts& counts) {
+    if (answer_final(poll.request, poll.job, 200)) {
+        return;
+    }
+    read(now, StateBudget::Use::poll, poll.request, poll.job,
+         [this, poll, counts](Time, const KeyedRecord&) {
+             std::uint32_t done = 0;
+             std::uint32_t running = 0;
+             counts(poll.job, done, running);
+             calls_.answer(poll.request, 200,
+                           JobAnswer{poll.job, running > 0 ? "running" : "pending", done, running});
+         });
+}
+
+void UserDesk::cancel(Time now, const Cancel& cancel, int tries_left) {
+    if (answer_final(cancel.request, cancel.job, 200)) {
+        return;
+    }
+    read(now, StateBudget::Use::user, cancel.request, cancel.job,
+         [this, cancel, tries_left](Time at, const KeyedRecord& item) {
+             JobRecord record = std::get<JobRecord>(item.record);
+             record.outcome = Outcome::cancelled;
+             Txn txn;
+             txn.when.push_back({item.key, item.version});
+             txn.then.push_back({item.key, std::move(record), {}});
+             bool sent = calls_.send_state(
+                 at, StateBudget::Use::user, std::move(txn),
+                 [this, cancel, tries_left](Time later, CallReply& reply) {
+                     if (reply.status == 200) {
+                         remember(cancel.job, Outcome::cancelled);
+                         answer_final(cancel.request, cancel.job, 200);
+                     } else if (reply.status == 409 && tries_left > 0) {
+                         this->cancel(later, cancel, tries_left - 1);
+                     } else {
+                         busy(cancel.request);
+                     }
+                 });
+             if (!sent) {
+                 busy(cancel.request);
+             }
+         });
+}
+
+} // namespace orchidlanding
--- /dev/null
+++ b/src/net/clients.cpp
@@ -0,0 +1,88 @@
+#include "net/clients.h"
+
+#include <httplib.h>
+
+#include <memory>
+
+#include "wire/codec.h"
+
+namespace orchidlanding::net {
+
+namespace {
+// Threads of each pool. The state pool has room for two watches besides the calls of a burst.
+constexpr std::size_t kStateThreads = 12;
+constexpr std::size_t kCloudThreads = 3;
+constexpr std::size_t kWorkerThreads = 16;
+
+std::unique_ptr<httplib::Client> connect(const std::string& address, double timeout_s) {
+    auto colon = address.rfind(':');
+    int port = colon == std::string::npos ? 80 : std::atoi(address.c_str() + colon + 1);
+    auto client = std::make_unique<httplib::Client>(address.substr(0, colon), port);
+    client->set_tcp_nodelay(true);
+    client->set_keep_alive(true);
+    client->set_connection_timeout(std::chrono::milliseconds(int(timeout_s * 1000)));
+    client->set_write_timeout(std::chrono::milliseconds(int(timeout_s * 1000)));
+    return client;
+}
+} // namespace
+
+Clients::Clients(Endpoints endpoints, Deliver deliver)
+    : endpoints_(std::move(endpoints)), deliver_(std::move(deliver)),
+      state_(kStateThreads, 10 * endpoints_.report_s),
+      cloud_(kCloudThreads, 2 * endpoints_.report_s),
+      workers_(kWorkerThreads, 2 * endpoints_.report_s) {}
+
+void Clients::send(const Call& call) {
+    bool orders = std::holds_alternative<Orders>(call.body);
+    bool cloud = std::holds_alternative<Catalog>(call.body) ||
+                 std::holds_alternative<ListHosts>(call.body) ||
+                 std::holds_alternative<Rent>(call.body) ||
+                 std::holds_alternative<Release>(call.body);
+    ThreadPool& pool = orders ? workers_ : cloud ? cloud_ : state_;
+    if (!pool.enqueue([this, call] { perform(call); })) {
+        CallReply none;
+        none.call = call.id;
+        deliver_(none);
+    }
+}
+
+void Clients::stop() {
+    state_.stop();
+    cloud_.stop();
+    workers_.stop();
+}
+
+void Clients::perform(const Call& call) {
+    wire::HttpCall http = wire::encode_call(call.body);
+    // A thread keeps one connection to the state service and one to the cloud.
+    static thread_local std::unique_ptr<httplib::Client> kept;
+    std::unique_ptr<httplib::Client> once;
+    httplib::Client* client = nullptr;
+    double timeout_s = endpoints_.report_s / 2;
+    if (http.service == wire::Service::worker) {
+        once = connect(http.endpoint, timeout_s);
+        client = once.get();
+    } else {
+        if (http.service == wire::Service::cloud) {
+            timeout_s = endpoints_.report_s * 2;
+        }
+        if (!kept) {
+            kept = connect(http.service == wire::Service::state ? endpoints_.state
+                                                                : endpoints_.cloud,
+                           timeout_s);
+        }
+        client = kept.get();
+    }
+    client->set_read_timeout(
+        std::chrono::milliseconds(int((timeout_s + http.wait_s) * 1000)));
+    httplib::Result result = http.method == "GET"
+                                 ? client->Get(http.path)
+                                 : client->Post(http.path, http.body, wire::kContentType);
+    if (result) {
+        deliver_(wire::decode_reply(call.id, call.body, result->status, result->body));
+    } else {
+        deliver_(wire::decode_reply(call.id, call.body, 0, ""));
+    }
+}
+
+} // namespace orchidlanding::net
--- /dev/null
+++ b/src/net/clients.h
@@ -0,0 +1,35 @@
+// Calls to the state service, the cloud and the workers: blocking clients on pools of threads.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "core/io.h"
+#include "net/thread_pool.h"
+
+namespace orchidlanding::net {
+
+struct Endpoints {
+    std::string state;
+    std::string cloud;
+    double report_s = 0; // the measure of all timeouts
+};
+
+class Clients {
+  public:
+    using Deliver = std::function<void(CallReply)>;
+    Clients(Endpoints endpoints, Deliver deliver);
+    void send(const Call& call);
+    void stop();
+
+  private:
+    void perform(const Call& call);
+
+    Endpoints endpoints_;
+    Deliver deliver_;
+    ThreadPool state_;
+    ThreadPool cloud_;
+    ThreadPool workers_;
+};
+
+} // namespace orchidlanding::net
--- /dev/null
+++ b/src/net/event_loop.h
@@ -0,0 +1,53 @@
+// Owns the core: one thread, one queue of inputs, and the way of each output out of it.
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <future>
+#include <mutex>
+#include <unordered_map>
+
+#include "core/controller.h"
+
+namespace orchidlanding::net {
+
+class EventLoop {
+  public:
+    using SendCall = std::function<void(const Call&)>;
+    using WriteLog = std::function<void(const LogLine&)>;
+
+    EventLoop(Controller& core, SendCall send, WriteLog log)
+        : core_(core), send_(std::move(send)), log_(std::move(log)) {}
+
+    // Runs until `stop`, on the thread that calls it.
+    void run();
+    void stop();
+    void push(Input input);
+    // Puts a request to the core and waits for its answer; none if it does not come in time.
+    template <class Request> std::optional<Answer> ask(Request request, double timeout_s) {
+        request.request = next_request_++;
+        std::future<Answer> future = expect(request.request);
+        push(Input(std::move(request)));
+        return wait(future, request.request, timeout_s);
+    }
+
+  private:
+    std::future<Answer> expect(RequestId id);
+    std::optional<Answer> wait(std::future<Answer>& future, RequestId id, double timeout_s);
+    void carry_out(Outputs outputs);
+
+    Controller& core_;
+    SendCall send_;
+    WriteLog log_;
+    std::mutex mutex_;
+    std::condition_variable wake_;
+    std::deque<Input> queue_;
+    bool stopping_ = false;
+    std::mutex asked_mutex_;
+    std::unordered_map<RequestId, std::promise<Answer>> asked_;
+    std::atomic<RequestId> next_request_{1};
+};
+
+} // namespace orchidlanding::net
--- /dev/null
+++ b/src/net/server.cpp
@@ -0,0 +1,142 @@
+#include "net/server.h"
+
+#include <httplib.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "net/thread_pool.h"
+#include "wire/codec.h"
+
+namespace orchidlanding::net {
+
+namespace {
+constexpr int kLongestPath = 256;
+constexpr int kBacklog = 128;
+
+class Queue : public httplib::TaskQueue {
+  public:
+    Queue(std::size_t most, double linger_s) : pool_(most, linger_s) {}
+    void enqueue(std::function<void()> work) override { pool_.enqueue(std::move(work)); }
+    void shutdown() override { pool_.stop(); }
+
+  private:
+    ThreadPool pool_;
+};
+
+void refuse(httplib::Response& res, int status, const std::string& why, int retry_after_s = 0) {
+    res.status = status;
+    if (retry_after_s > 0) {
+        res.set_header("Retry-After", std::to_string(retry_after_s));
+    }
+    res.set_content(wire::encode_answer(Plain{why}), wire::kContentType);
+}
+
+void reply(httplib::Response& res, const std::optional<Answer>& answer) {
+    if (!answer) {
+        refuse(res, 503, "no answer in time", 1);
+        return;
+    }
+    res.status = answer->status;
+    if (answer->retry_after_s > 0) {
+        res.set_header("Retry-After",
+                       std::to_string(static_cast<int>(std::ceil(answer->retry_after_s))));
+    }
+    res.set_content(wire::encode_answer(answer->body), wire::kContentType);
+}
+} // namespace
+
+// httplib listens with a backlog of five, too short for the connections of a burst.
+class Server::Http : public httplib::Server {
+  public:
+    void widen_backlog() { ::listen(svr_sock_, kBacklog); }
+};
+
+Server::Server(EventLoop& loop, ServerLimits limits) : loop_(loop), http_(new Http) {
+    // A connection has a thread while it is open. Its idle wait in httplib polls a hundred times
+    // a second, more than these machines can spare for every worker and user, so a connection
+    // serves one request and is closed with its answer.
+    std::size_t threads = std::clamp(limits.sockets / 8, 16, 96);
+    double linger_s = limits.report_s * 4;
+    http_->new_task_queue = [threads, linger_s] { return new Queue(threads, linger_s); };
+    http_->set_keep_alive_max_count(1);
+    http_->set_keep_alive_timeout(std::max(1, static_cast<int>(limits.report_s)));
+    http_->set_read_timeout(std::chrono::milliseconds(int(limits.report_s * 700)));
+    http_->set_write_timeout(std::chrono::milliseconds(int(limits.report_s * 700)));
+    http_->set_tcp_nodelay(true);
+    http_->set_payload_max_length(wire::kBodyLimit);
+    // The routes are regular expressions, whose matcher recurses by the length of the path.
+    http_->set_pre_routing_handler([](const httplib::Request& req, httplib::Response& res) {
+        if (req.path.size() > kLongestPath) {
+            refuse(res, 404, "no such path");
+            return httplib::Server::HandlerResponse::Handled;
+        }
+        return httplib::Server::HandlerResponse::Unhandled;
+    });
+    http_->set_error_handler([](const httplib::Request&, httplib::Response& res) {
+        if (res.status == 413) {
+            refuse(res, 400, "body over 64 KiB");
+        }
+    });
+    // Users give up on a submission after 5 s and on a poll after 2 s, workers after 4 s.
+    double timeout_s = limits.report_s;
+    http_->Post(wire::kJobsPath, [this, timeout_s](const httplib::Request& req,
+                                                   httplib::Response& res) {
+        try {
+            reply(res, loop_.ask(Submit{0, wire::parse_job(req.body)}, timeout_s));
+        } catch (const wire::BadMessage& bad) {
+            refuse(res, 400, bad.what());
+        }
+    });
+    http_->Get(R"(/work/([^/]+))", [this, timeout_s](const httplib::Request& req,
+                                                     httplib::Response& res) {
+        std::string id = req.matches[1];
+        if (!wire::valid_job_id(id)) {
+            refuse(res, 404, "no such job");
+            return;
+        }
+        reply(res, loop_.ask(Poll{0, id}, timeout_s / 2));
+    });
+    http_->Post(R"(/work/([^/]+)/withdraw)", [this, timeout_s](const httplib::Request& req,
+                                                               httplib::Response& res) {
+        std::string id = req.matches[1];
+        if (!wire::valid_job_id(id)) {
+            refuse(res, 404, "no such job");
+            return;
+        }
+        reply(res, loop_.ask(Cancel{0, id}, timeout_s));
+    });
+    http_->Post(wire::kReportPath, [this, timeout_s](const httplib::Request& req,
+                                                     httplib::Response& res) {
+        try {
+            reply(res, loop_.ask(WorkerReport{0, wire::parse_report(req.body)}, timeout_s));
+        } catch (const wire::BadMessage& bad) {
+            refuse(res, 400, bad.what());
+        }
+    });
+    http_->Get(wire::kReadyPath, [this](const httplib::Request&, httplib::Response& res) {
+        reply(res, loop_.ask(ReadyProbe{0}, 1));
+    });
+}
+
+Server::~Server() = default;
+
+bool Server::bind(const std::string& host, int port) {
+    if (port == 0) {
+        port_ = http_->bind_to_any_port(host);
+    } else {
+        port_ = http_->bind_to_port(host, port) ? port : -1;
+    }
+    if (port_ <= 0) {
+        return false;
+    }
+    http_->widen_backlog();
+    return true;
+}
+
+void Server::run() { http_->listen_after_bind(); }
+
+void Server::stop() { http_->stop(); }
+
+} // namespace orchidlanding::net
--- /dev/null
+++ b/src/net/server.h
@@ -0,0 +1,33 @@
+// The HTTP interface for users, workers and health checks.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "net/event_loop.h"
+
+namespace orchidlanding::net {
+
+struct ServerLimits {
+    int sockets = 0;
+    double report_s = 0;
+};
+
+class Server {
+  public:
+    Server(EventLoop& loop, ServerLimits limits);
+    ~Server();
+    // False: the address cannot be had.
+    bool bind(const std::string& host, int port);
+    void run();
+    void stop();
+    int port() const { return port_; }
+
+  private:
+    class Http;
+    EventLoop& loop_;
+    std::unique_ptr<Http> http_;
+    int port_ = 0;
+};
+
+} // namespace orchidlanding::net
--- /dev/null
+++ b/src/net/thread_pool.h
@@ -0,0 +1,37 @@
+// Threads that grow with the work up to a limit, and go away again when there is little to do.
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+
+namespace orchidlanding::net {
+
+class ThreadPool {
+  public:
+    ThreadPool(std::size_t most, double linger_s) : most_(most), linger_s_(linger_s) {}
+    ~ThreadPool() { stop(); }
+    ThreadPool(const ThreadPool&) = delete;
+    ThreadPool& operator=(const ThreadPool&) = delete;
+
+    // False: too much waits already.
+    bool enqueue(std::function<void()> work);
+    // Runs what is queued, then waits for all threads to end.
+    void stop();
+
+  private:
+    void run();
+
+    const std::size_t most_;
+    const double linger_s_;
+    std::mutex mutex_;
+    std::condition_variable wake_;
+    std::condition_variable ended_;
+    std::deque<std::function<void()>> queue_;
+    std::size_t threads_ = 0;
+    std::size_t idle_ = 0;
+    bool stopping_ = false;
+};
+
+} // namespace orchidlanding::net
--- /dev/null
+++ b/src/wire/codec.cpp
@@ -0,0 +1,649 @@
+#include "wire/codec.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <msgpack.hpp>
+#include <string_view>
+
+namespace orchidlanding::wire {
+
+namespace {
+
+using Packer = msgpack::packer<msgpack::sbuffer>;
+
+constexpr std::uint32_t kMostTasks = 100000;
+constexpr std::size_t kMostText = 200;
+
+constexpr std::array<std::string_view, 3> kKinds{"batch", "ensemble", "standing"};
+constexpr std::array<std::string_view, 4> kPriorities{"prod", "high", "standard", "idle"};
+constexpr std::array<std::string_view, 3> kOutcomes{"none", "done", "aborted"};
+constexpr std::array<std::string_view, 5> kStages{"pulling", "waiting", "running", "flushing",
+                                                  "exited"};
+constexpr std::array<std::string_view, 9> kWhys{"none",  "done",  "halted",  "mates_gone",
+                                                "incomplete", "error", "no_room", "busy",
+                                                "unknown"};
+constexpr std::array<std::string_view, 3> kOps{"launch", "stop", "clear"};
+constexpr std::array<std::string_view, 3> kHostStages{"booting", "running", "failed"};
+
+template <class E, std::size_t N>
+E enum_of(std::string_view text, const std::array<std::string_view, N>& names, const char* field) {
+    auto it = std::find(names.begin(), names.end(), text);
+    if (it == names.end()) {
+        throw BadMessage(std::string(field) + ": unknown value");
+    }
+    return static_cast<E>(it - names.begin());
+}
+
+template <class E, std::size_t N>
+std::string_view name_of(E value, const std::array<std::string_view, N>& names) {
+    return names.at(static_cast<std::size_t>(value));
+}
+
+// A map's fields, read strictly: what is there must have the right type and range.
+class Fields {
+  public:
+    explicit Fields(const msgpack::object& object) {
+        if (object.type != msgpack::type::MAP) {
+            throw BadMessage("not a map");
+        }
+        map_ = object.via.map;
+    }
+
+    const msgpack::object* get(std::string_view name) const {
+        for (std::uint32_t i = 0; i < map_.size; ++i) {
+            const auto& key = map_.ptr[i].key;
+            if (key.type == msgpack::type::STR &&
+                std::string_view(key.via.str.ptr, key.via.str.size) == name) {
+                const auto& value = map_.ptr[i].val;
+                return value.type == msgpack::type::NIL ? nullptr : &value;
+            }
+        }
+        return nullptr;
+    }
+    const msgpack::object& need(const char* name) const {
+        const auto* value = get(name);
+        if (!value) {
+            throw BadMessage(std::string(name) + ": missing");
+        }
+        return *value;
+    }
+    std::string text(const char* name) const { return text_of(need(name), name); }
+    std::uint64_t integer(const char* name) const { return integer_of(need(name), name); }
+    double amount(const char* name) const { return amount_of(need(name), name); }
+    bool flag(const char* name) const {
+        const auto& v = need(name);
+        if (v.type != msgpack::type::BOOLEAN) {
+            throw BadMessage(std::string(name) + ": not a boolean");
+        }
+        return v.via.boolean;
+    }
+    std::optional<double> maybe_amount(const char* name) const {
+        const auto* v = get(name);
+        return v ? std::optional(amount_of(*v, name)) : std::nullopt;
+    }
+    std::optional<std::string> maybe_text(const char* name) const {
+        const auto* v = get(name);
+        return v ? std::optional(text_of(*v, name)) : std::nullopt;
+    }
+    std::vector<const msgpack::object*> list(const char* name) const {
+        return list_of(need(name), name);
+    }
+
+    static std::string text_of(const msgpack::object& v, const char* name) {
+        if (v.type != msgpack::type::STR) {
+            throw BadMessage(std::string(name) + ": not text");
+        }
+        return {v.via.str.ptr, v.via.str.size};
+    }
+    static std::uint64_t integer_of(const msgpack::object& v, const char* name) {
+        if (v.type != msgpack::type::POSITIVE_INTEGER) {
+            throw BadMessage(std::string(name) + ": not a count");
+        }
+        return v.via.u64;
+    }
+    static double amount_of(const msgpack::object& v, const char* name) {
+        double d = 0;
+        if (v.type == msgpack::type::FLOAT64 || v.type == msgpack::type::FLOAT32) {
+            d = v.via.f64;
+        } else if (v.type == msgpack::type::POSITIVE_INTEGER) {
+            d = static_cast<double>(v.via.u64);
+        } else {
+            throw BadMessage(std::string(name) + ": not an amount");
+        }
+        if (!std::isfinite(d) || d < 0) {
+            throw BadMessage(std::string(name) + ": out of range");
+        }
+        return d;
+    }
+    static std::vector<const msgpack::object*> list_of(const msgpack::object& v,
+                                                       const char* name) {
+        if (v.type != msgpack::type::ARRAY) {
+            throw BadMessage(std::string(name) + ": not a list");
+        }
+        std::vector<const msgpack::object*> out;
+        for (std::uint32_t i = 0; i < v.via.array.size; ++i) {
+            out.push_back(&v.via.array.ptr[i]);
+        }
+        return out;
+    }
+
+  private:
+    msgpack::object_map map_{};
+};
+
+msgpack::object_handle unpack(const std::string& body) {
+    try {
+        std::size_t used = 0;
+        // Nesting and sizes are bounded: a body from outside may claim anything.
+        auto handle = msgpack::unpack(body.data(), body.size(), used, nullptr, nullptr,
+                                      msgpack::unpack_limit(1 << 20, 1 << 20, 1 << 20, 1 << 20,
+                                                            1 << 20, 32));
+        if (used != body.size()) {
+            throw BadMessage("not MessagePack: more than one value");
+        }
+        return handle;
+    } catch (const msgpack::unpack_error&) {
+        throw BadMessage("not MessagePack");
+    }
+}
+
+std::string short_text(const Fields& f, const char* name) {
+    std::string s = f.text(name);
+    if (s.empty() || s.size() > kMostText) {
+        throw BadMessage(std::string(name) + ": empty or too long");
+    }
+    return s;
+}
+
+JobSpec job_of(const Fields& f) {
+    JobSpec s;
+    s.id = f.text("uid");
+    if (!valid_job_id(s.id)) {
+        throw BadMessage("uid: not a job id");
+    }
+    s.job_class = short_text(f, "bloom");
+    s.team = short_text(f, "grower");
+    s.kind = enum_of<JobKind>(f.text("habit"), kKinds, "habit");
+    s.priority = enum_of<Priority>(f.text("rank"), kPriorities, "rank");
+    std::uint64_t tasks = f.integer("petals");
+    if (tasks == 0 || tasks > kMostTasks) {
+        throw BadMessage("petals: out of range");
+    }
+    s.tasks = static_cast<std::uint32_t>(tasks);
+    s.cpus = f.amount("cpus");
+    s.gpus = f.amount("cards");
+    s.ram_gb = f.amount("ram_gb");
+    s.image = short_text(f, "bulb");
+    s.image_gb = f.amount("pull_gb");
+    if (const auto* types = f.get("benches")) {
+        s.types.emplace();
+        for (const auto* t : Fields::list_of(*types, "benches")) {
+            s.types->push_back(Fields::text_of(*t, "benches"));
+        }
+    }
+    s.zone = f.maybe_text("house");
+    s.one_zone = f.flag("one_zone");
+    s.spread = f.flag("spread");
+    s.spot = f.flag("cuttings");
+    s.estimate_s = f.amount("bloom_s");
+    s.checkpoint_s = f.amount("pot_s");
+    s.save_s = f.amount("repot_s");
+    s.deadline_s = f.maybe_amount("show_s");
+    return s;
+}
+
+TaskRef task_of(const std::string& text) {
+    auto slash = text.find('/');
+    TaskRef ref;
+    if (slash == std::string::npos || !valid_job_id(text.substr(0, slash))) {
+        throw BadMessage("petal: not a task id");
+    }
+    ref.job = text.substr(0, slash);
+    const char* end = text.data() + text.size();
+    auto [stop, error] = std::from_chars(text.data() + slash + 1, end, ref.index);
+    if (error != std::errc() || stop != end) {
+        throw BadMessage("petal: not a task id");
+    }
+    return ref;
+}
+
+std::string text_of(const TaskRef& task) { return task.job + "/" + std::to_string(task.index); }
+
+Report report_of(const Fields& f) {
+    Report r;
+    r.machine = short_text(f, "pot");
+    r.endpoint = short_text(f, "endpoint");
+    r.type = short_text(f, "bench");
+    r.zone = short_text(f, "house");
+    r.spot = f.flag("cuttings");
+    r.session = f.integer("season");
+    r.tick = f.integer("tick");
+    r.token = f.integer("warrant");
+    r.notice_s = f.maybe_amount("frost_s");
+    for (const auto* item : f.list("petals")) {
+        Fields t(*item);
+        ListedTask listed;
+        listed.task = task_of(t.text("petal"));
+        listed.attempt = t.integer("sowing");
+        listed.stage = enum_of<TaskStage>(t.text("stage"), kStages, "stage");
+        if (auto why = t.maybe_text("wilt")) {
+            listed.why = enum_of<ExitWhy>(*why, kWhys, "wilt");
+        }
+        if (listed.stage == TaskStage::exited && listed.why == ExitWhy::none) {
+            throw BadMessage("wilt: missing");
+        }
+        r.tasks.push_back(std::move(listed));
+    }
+    return r;
+}
+
+void key(Packer& p, std::string_view name) { p.pack(name); }
+
+template <class T> void field(Packer& p, std::string_view name, const T& value) {
+    p.pack(name);
+    p.pack(value);
+}
+
+void pack_job(Packer& p, const JobSpec& s) {
+    p.pack_map(20);
+    field(p, "uid", s.id);
+    field(p, "bloom", s.job_class);
+    field(p, "grower", s.team);
+    field(p, "habit", name_of(s.kind, kKinds));
+    field(p, "rank", name_of(s.priority, kPriorities));
+    field(p, "petals", s.tasks);
+    field(p, "cpus", s.cpus);
+    field(p, "cards", s.gpus);
+    field(p, "ram_gb", s.ram_gb);
+    field(p, "bulb", s.image);
+    field(p, "pull_gb", s.image_gb);
+    key(p, "benches");
+    s.types ? p.pack(*s.types) : p.pack_nil();
+    key(p, "house");
+    s.zone ? p.pack(*s.zone) : p.pack_nil();
+    field(p, "one_zone", s.one_zone);
+    field(p, "spread", s.spread);
+    field(p, "cuttings", s.spot);
+    field(p, "bloom_s", s.estimate_s);
+    field(p, "pot_s", s.checkpoint_s);
+    field(p, "repot_s", s.save_s);
+    key(p, "show_s");
+    s.deadline_s ? p.pack(*s.deadline_s) : p.pack_nil();
+}
+
+// Bits as hex text, four tasks a character: values may not be binary.
+std::string hex_of(const std::vector<bool>& bits) {
+    static constexpr char kDigits[] = "0123456789abcdef";
+    std::string out;
+    for (std::size_t i = 0; i < bits.size(); i += 4) {
+        int nibble = 0;
+        for (std::size_t j = 0; j < 4 && i + j < bits.size(); ++j) {
+            nibble |= bits[i + j] ? 1 << j : 0;
+        }
+        out.push_back(kDigits[nibble]);
+    }
+    return out;
+}
+
+std::vector<bool> bits_of(const std::string& hex) {
+    std::vector<bool> bits;
+    for (char c : hex) {
+        int nibble = 0;
+        if (c >= '0' && c <= '9') {
+            nibble = c - '0';
+        } else if (c >= 'a' && c <= 'f') {
+            nibble = c - 'a' + 10;
+        } else {
+            throw BadMessage("bits: not hex");
+        }
+        for (int j = 0; j < 4; ++j) {
+            bits.push_back((nibble >> j) & 1);
+        }
+    }
+    return bits;
+}
+
+void pack_record(Packer& p, const Record& record) {
+    if (const auto* job = std::get_if<JobRecord>(&record)) {
+        p.pack_map(job->spec ? 2 : 1);
+        field(p, "outcome", name_of(job->outcome, kOutcomes));
+        if (job->spec) {
+            key(p, "job");
+            pack_job(p, *job->spec);
+        }
+    } else if (const auto* progress = std::get_if<ProgressRecord>(&record)) {
+        p.pack_map(1);
+        field(p, "bits", hex_of(progress->done));
+    } else if (const auto* part = std::get_if<PartRecord>(&record)) {
+        p.pack_map(1);
+        field(p, "node", part->node);
+    } else if (const auto* machine = std::get_if<MachineRecord>(&record)) {
+        p.pack_map(3);
+        field(p, "type", machine->type);
+        field(p, "zone", machine->zone);
+        field(p, "spot", machine->spot);
+    } else {
+        p.pack_nil();
+    }
+}
+
+Record record_of(const std::string& key, const msgpack::object& value) {
+    try {
+        Fields f(value);
+        if (key.starts_with("job/")) {
+            JobRecord r;
+            r.outcome = enum_of<Outcome>(f.text("outcome"), kOutcomes, "outcome");
+            if (const auto* job = f.get("job")) {
+                r.spec = job_of(Fields(*job));
+            }
+            if (!r.spec && r.outcome == Outcome::none) {
+                return Unreadable{};
+            }
+            return r;
+        }
+        if (key.starts_with("done/")) {
+            return ProgressRecord{bits_of(f.text("bits"))};
+        }
+        if (key.starts_with("part/")) {
+            return PartRecord{f.text("node")};
+        }
+        if (key.starts_with("machine/")) {
+            return MachineRecord{f.text("type"), f.text("zone"), f.flag("spot")};
+        }
+    } catch (const BadMessage&) {
+        return Unreadable{};
+    }
+    return Unreadable{};
+}
+
+std::string packed(const msgpack::sbuffer& b) { return {b.data(), b.size()}; }
+
+void pack_commands(Packer& p, const std::vector<Command>& commands) {
+    key(p, "tending");
+    p.pack_array(static_cast<std::uint32_t>(commands.size()));
+    for (const auto& c : commands) {
+        p.pack_map(c.op == Op::stop ? 4 : 3);
+        field(p, "chore", name_of(c.op, kOps));
+        field(p, "petal", text_of(c.task));
+        field(p, "sowing", c.attempt);
+        if (c.op == Op::stop) {
+            field(p, "wither_s", c.grace_s);
+        }
+    }
+}
+
+std::string escaped(const std::string& s) {
+    static constexpr char kHex[] = "0123456789ABCDEF";
+    std::string out;
+    for (unsigned char c : s) {
+        if (std::isalnum(c) || c == '-' || c == '_' || c == '.' || c == '/') {
+            out.push_back(static_cast<char>(c));
+        } else {
+            out += '%';
+            out += kHex[c >> 4];
+            out += kHex[c & 15];
+        }
+    }
+    return out;
+}
+
+KeyedRecord item_of(const Fields& f, const std::string& key) {
+    return {key, record_of(key, f.need("data")), f.integer("graft")};
+}
+
+Host host_of(const Fields& f) {
+    Host h;
+    h.name = f.text("uid");
+    h.endpoint = f.maybe_text("endpoint").value_or("");
+    h.type = f.text("bench");
+    h.zone = f.text("house");
+    h.spot = f.flag("cuttings");
+    h.stage = enum_of<HostStage>(f.text("stage"), kHostStages, "stage");
+    h.age_s = f.amount("held_s");
+    return h;
+}
+
+MachineType type_of(const Fields& f) {
+    MachineType t;
+    t.name = f.text("sku");
+    t.cpus = f.amount("cpus");
+    t.gpus = f.amount("cards");
+    t.ram_gb = f.amount("ram_gb");
+    t.cache_gb = f.amount("cache_gb");
+    t.fetch_gb_per_s = f.amount("pull_gb_per_s");
+    t.price = f.amount("rate");
+    t.spot_price = f.maybe_amount("market_price").value_or(t.price);
+    t.boot_s = f.amount("startup_s");
+    for (const auto* z : f.list("houses")) {
+        t.zones.push_back(Fields::text_of(*z, "houses"));
+    }
+    if (t.cpus <= 0 || t.ram_gb <= 0) {
+        throw BadMessage("catalog: empty machine type");
+    }
+    return t;
+}
+
+} // namespace
+
+bool valid_job_id(const std::string& id) {
+    constexpr std::string_view kPrefix = "req-";
+    return id.size() > kPrefix.size() && id.size() <= 64 && id.starts_with(kPrefix) &&
+           std::all_of(id.begin() + kPrefix.size(), id.end(),
+                       [](unsigned char c) { return std::isdigit(c) != 0; });
+}
+
+JobSpec parse_job(const std::string& body) {
+    auto handle = unpack(body);
+    return job_of(Fields(handle.get()));
+}
+
+Report parse_report(const std::string& body) {
+    auto handle = unpack(body);
+    return report_of(Fields(handle.get()));
+}
+
+std::string encode_answer(const AnswerBody& body) {
+    msgpack::sbuffer buffer;
+    Packer p(buffer);
+    if (const auto* job = std::get_if<JobAnswer>(&body)) {
+        p.pack_map(2 + (job->done ? 1 : 0) + (job->running ? 1 : 0));
+        field(p, "uid", job->id);
+        field(p, "stage", job->stage == "cancelled" ? std::string("aborted") : job->stage);
+        if (job->done) {
+            field(p, "done", *job->done);
+        }
+        if (job->running) {
+            field(p, "running", *job->running);
+        }
+    } else if (const auto* report = std::get_if<ReportAnswer>(&body)) {
+        p.pack_map(2);
+        field(p, "warrant", report->token);
+        pack_commands(p, report->commands);
+    } else if (const auto* redirect = std::get_if<Redirect>(&body)) {
+        p.pack_map(redirect->node.empty() ? 0 : 1);
+        if (!redirect->node.empty()) {
+            field(p, "gardener", redirect->node);
+        }
+    } else {
+        p.pack_map(1);
+        field(p, "error", std::get<Plain>(body).text);
+    }
+    return packed(buffer);
+}
+
+HttpCall encode_call(const CallBody& call) {
+    HttpCall out;
+    msgpack::sbuffer buffer;
+    Packer p(buffer);
+    if (const auto* get = std::get_if<Get>(&call)) {
+        out.method = "GET";
+        out.path = "/kv/" + escaped(get->key);
+    } else if (const auto* range = std::get_if<Range>(&call)) {
+        out.method = "GET";
+        out.path = "/kv?starts=" + escaped(range->prefix) + "&limit=200";
+        if (!range->after.empty()) {
+            out.path += "&since=" + escaped(range->after);
+        }
+    } else if (const auto* txn = std::get_if<Txn>(&call)) {
+        out.method = "POST";
+        out.path = "/txn";
+        p.pack_map(2);
+        key(p, "when");
+        p.pack_array(static_cast<std::uint32_t>(txn->when.size()));
+        for (const auto& c : txn->when) {
+            p.pack_map(2);
+            field(p, "key", c.key);
+            field(p, "graft", c.version);
+        }
+        key(p, "then");
+        p.pack_array(static_cast<std::uint32_t>(txn->then.size()));
+        for (const auto& c : txn->then) {
+            if (!c.put) {
+                p.pack_map(1);
+                field(p, "drop", c.key);
+                continue;
+            }
+            p.pack_map(c.lease ? 3 : 2);
+            field(p, "set", c.key);
+            key(p, "data");
+            pack_record(p, *c.put);
+            if (c.lease) {
+                field(p, "lease", *c.lease);
+            }
+        }
+    } else if (const auto* grant = std::get_if<Grant>(&call)) {
+        out.method = "POST";
+        out.path = "/holds";
+        p.pack_map(1);
+        field(p, "ttl_ms", static_cast<std::uint64_t>(grant->ttl_s * 1000));
+    } else if (const auto* renew = std::get_if<Renew>(&call)) {
+        out.method = "POST";
+        out.path = "/holds/" + std::to_string(renew->lease) + "/renew";
+        p.pack_map(0);
+    } else if (const auto* watch = std::get_if<Watch>(&call)) {
+        out.method = "GET";
+        out.path = "/changes?starts=" + escaped(watch->prefix) +
+                   "&since=" + std::to_string(watch->since) +
+                   "&wait_ms=" + std::to_string(static_cast<int>(watch->wait_s * 1000));
+        out.wait_s = watch->wait_s;
+    } else if (std::holds_alternative<Catalog>(call)) {
+        out.service = Service::cloud;
+        out.method = "GET";
+        out.path = "/catalog";
+    } else if (const auto* list = std::get_if<ListHosts>(&call)) {
+        out.service = Service::cloud;
+        out.method = "GET";
+        out.path = "/hosts?limit=200";
+        if (!list->after.empty()) {
+            out.path += "&since=" + escaped(list->after);
+        }
+    } else if (const auto* rent = std::get_if<Rent>(&call)) {
+        out.service = Service::cloud;
+        out.method = "POST";
+        out.path = "/hosts";
+        p.pack_map(5);
+        field(p, "order", rent->order);
+        field(p, "bench", rent->type);
+        field(p, "house", rent->zone);
+        field(p, "cuttings", rent->spot);
+        field(p, "count", rent->count);
+    } else if (const auto* release = std::get_if<Release>(&call)) {
+        out.service = Service::cloud;
+        out.method = "POST";
+        out.path = "/hosts/release";
+        p.pack_map(1);
+        field(p, "pots", release->machines);
+    } else {
+        const auto& orders = std::get<Orders>(call);
+        out.service = Service::worker;
+        out.method = "POST";
+        out.path = "/orders";
+        out.endpoint = orders.endpoint;
+        p.pack_map(3);
+        field(p, "warrant", orders.token);
+        field(p, "season", orders.session);
+        pack_commands(p, orders.commands);
+    }
+    out.body = packed(buffer);
+    return out;
+}
+
+CallReply decode_reply(CallId id, const CallBody& call, int status, const std::string& body) {
+    CallReply r;
+    r.call = id;
+    r.status = status;
+    if (status == 0) {
+        return r;
+    }
+    try {
+        if (status != 200) {
+            if (status == 409) {
+                auto handle = unpack(body);
+                if (std::holds_alternative<Orders>(call)) {
+                    r.report = report_of(Fields(handle.get()));
+                } else if (const auto* failed = Fields(handle.get()).get("failed")) {
+                    for (const auto* k : Fields::list_of(*failed, "failed")) {
+                        r.failed.push_back(Fields::text_of(*k, "failed"));
+                    }
+                }
+            }
+            return r;
+        }
+        if (std::holds_alternative<Renew>(call)) {
+            return r;
+        }
+        if (std::holds_alternative<Release>(call)) {
+            return r;
+        }
+        auto handle = unpack(body);
+        Fields f(handle.get());
+        if (const auto* get = std::get_if<Get>(&call)) {
+            r.items.push_back(item_of(f, get->key));
+        } else if (std::holds_alternative<Range>(call)) {
+            r.revision = f.integer("ring");
+            r.more = f.flag("more");
+            for (const auto* item : f.list("pairs")) {
+                Fields i(*item);
+                r.items.push_back(item_of(i, i.text("key")));
+            }
+        } else if (std::holds_alternative<Txn>(call)) {
+            r.revision = f.integer("ring");
+        } else if (std::holds_alternative<Grant>(call)) {
+            r.lease = f.integer("lease");
+        } else if (std::holds_alternative<Watch>(call)) {
+            r.revision = f.integer("ring");
+            for (const auto* event : f.list("events")) {
+                Fields e(*event);
+                if (auto set = e.maybe_text("set")) {
+                    r.items.push_back(item_of(e, *set));
+                } else {
+                    r.deleted.push_back(e.text("drop"));
+                }
+            }
+        } else if (std::holds_alternative<Catalog>(call)) {
+            for (const auto* item : f.list("benches")) {
+                r.types.push_back(type_of(Fields(*item)));
+            }
+        } else if (std::holds_alternative<ListHosts>(call)) {
+            r.more = f.flag("more");
+            for (const auto* item : f.list("pots")) {
+                r.hosts.push_back(host_of(Fields(*item)));
+            }
+        } else if (std::holds_alternative<Rent>(call)) {
+            for (const auto* item : f.list("pots")) {
+                r.names.push_back(Fields::text_of(*item, "pots"));
+            }
+        } else if (std::holds_alternative<Orders>(call)) {
+            r.report = report_of(f);
+        }
+    } catch (const BadMessage&) {
+        CallReply none;
+        none.call = id;
+        return none;
+    }
+    return r;
+}
+
+} // namespace orchidlanding::wire
