--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -58,7 +58,8 @@
     net::EventLoop* loop_pointer = nullptr;
     net::Clients clients({settings.state, settings.cloud, settings.facts.report_s},
                          [&](CallReply reply) { loop_pointer->push(std::move(reply)); });
-    net::EventLoop loop(core, [&](const Call& call) { clients.send(call); }, write_log);
+    net::EventLoop loop(
+        core, [&](const Call& call) { clients.send(call); }, write_log);
     loop_pointer = &loop;
     net::Server server(loop, {settings.sockets, settings.facts.report_s});
     if (!server.bind(settings.listen_host, settings.listen_port)) {
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -8,8 +8,7 @@
 
 Controller::Controller(const Facts& facts, const Policy& policy)
     : facts_(facts), policy_(policy),
-      budget_(facts.state_rps, facts.state_write_rps,
-              static_cast<int>(facts.siblings.size()) + 1),
+      budget_(facts.state_rps, facts.state_write_rps, static_cast<int>(facts.siblings.size()) + 1),
       calls_(budget_, 1), authority_(facts.node, policy.part_lease_s), desk_(facts_, calls_) {}
 
 double Controller::tick_s() const { return facts_.report_s / 12; }
@@ -18,10 +17,10 @@
     if (auto* submit = std::get_if<Submit>(&input)) {
         desk_.submit(now, *submit, types_);
     } else if (auto* poll = std::get_if<Poll>(&input)) {
-        desk_.poll(now, *poll, [this](const std::string& id, std::uint32_t& done,
-                                      std::uint32_t& running) {
-            return owner_ && owner_->counts(id, done, running);
-        });
+        desk_.poll(now, *poll,
+                   [this](const std::string& id, std::uint32_t& done, std::uint32_t& running) {
+                       return owner_ && owner_->counts(id, done, running);
+                   });
     } else if (auto* cancel = std::get_if<Cancel>(&input)) {
         desk_.cancel(now, *cancel);
     } else if (auto* ready = std::get_if<ReadyProbe>(&input)) {
@@ -138,37 +137,37 @@
     if (watching_ || authority_.held() || now < next_seek_ - facts_.report_s / 3) {
         return;
     }
-    watching_ = calls_.send_state(
-        now, StateBudget::Use::poll, Watch{kPartKey, watch_from_, facts_.lease_s / 2},
-        [this](Time at, CallReply& reply) {
-            watching_ = false;
-            if (reply.status == 200) {
-                watch_from_ = std::max(watch_from_, reply.revision);
-                if ((!reply.items.empty() || !reply.deleted.empty()) && !authority_.held() &&
-                    !seeking_) {
-                    read_part(at);
-                }
-            } else if (reply.status == 410) {
-                watch_from_ = 0;
-            }
-        });
+    watching_ = calls_.send_state(now, StateBudget::Use::poll,
+                                  Watch{kPartKey, watch_from_, facts_.lease_s / 2},
+                                  [this](Time at, CallReply& reply) {
+                                      watching_ = false;
+                                      if (reply.status == 200) {
+                                          watch_from_ = std::max(watch_from_, reply.revision);
+                                          if ((!reply.items.empty() || !reply.deleted.empty()) &&
+                                              !authority_.held() && !seeking_) {
+                                              read_part(at);
+                                          }
+                                      } else if (reply.status == 410) {
+                                          watch_from_ = 0;
+                                      }
+                                  });
 }
 
 void Controller::claim(Time now, std::uint64_t version) {
     authority_.granting();
-    calls_.send_state(
-        now, StateBudget::Use::renewal, Grant{authority_.ttl_s()},
-        [this, version, sent = now](Time at, CallReply& reply) {
-            if (reply.status != 200) {
-                authority_.lost();
-                return;
-            }
-            authority_.granted(reply.lease, sent);
-            authority_.claiming();
-            Txn txn;
-            txn.when.push_back({kPartKey, version});
-            txn.then.push_back({kPartKey, PartRecord{facts_.node}, reply.lease});
-            calls_.send_state(at, StateBudget::Use::renewal, std::move(txn),
+    calls_.send_state(now, StateBudget::Use::renewal, Grant{authority_.ttl_s()},
+                      [this, version, sent = now](Time at, CallReply& reply) {
+                          if (reply.status != 200) {
+                              authority_.lost();
+                              return;
+                          }
+                          authority_.granted(reply.lease, sent);
+                          authority_.claiming();
+                          Txn txn;
+                          txn.when.push_back({kPartKey, version});
+                          txn.then.push_back({kPartKey, PartRecord{facts_.node}, reply.lease});
+                          calls_.send_state(
+                              at, StateBudget::Use::renewal, std::move(txn),
                               [this](Time later, CallReply& r) {
                                   if (r.status != 200) {
                                       // If it takes effect after all, the key names this node,
@@ -183,7 +182,7 @@
                                   owner_ = std::make_unique<PartOwner>(later, facts_, policy_,
                                                                        authority_, budget_, types_);
                               });
-        });
+                      });
 }
 
 void Controller::renew(Time now) {
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -6,7 +6,7 @@
 namespace orchidlanding {
 
 namespace {
-constexpr int kMostPerOrder = 50;   // the cloud's own limit
+constexpr int kMostPerOrder = 50;      // the cloud's own limit
 constexpr double kMissedReports = 2.5; // silent for so many report times: suspect
 } // namespace
 
@@ -15,8 +15,7 @@
     return !m.draining && !m.releasing && !m.notice_s && !down;
 }
 
-std::vector<Rent> Fleet::rent(Time now, const Demand& demand,
-                              const std::vector<MachineType>& types,
+std::vector<Rent> Fleet::rent(Time now, const Demand& demand, const std::vector<MachineType>& types,
                               const MachineTable& machines) {
     std::vector<Rent> out;
     for (auto& p : pending_) {
@@ -76,9 +75,8 @@
     }
     std::map<std::string, int> share;
     for (int i = 0; i < count; ++i) {
-        auto least = std::min_element(in_zone.begin(), in_zone.end(), [](auto& a, auto& b) {
-            return a.second < b.second;
-        });
+        auto least = std::min_element(in_zone.begin(), in_zone.end(),
+                                      [](auto& a, auto& b) { return a.second < b.second; });
         ++least->second;
         ++share[least->first];
     }
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -26,12 +26,15 @@
     void rented(Time now, const Rent& rent, int status, std::size_t got);
 
     // Machines to give back: idle for long, never up, lost, or at fault.
-    std::vector<std::string> surplus(Time now, const MachineTable& machines, bool may_suspect) const;
+    std::vector<std::string> surplus(Time now, const MachineTable& machines,
+                                     bool may_suspect) const;
     // A name that was released; the list may show it for a while yet.
     void released(Time now, const std::string& name) { released_[name] = now; }
     bool was_released(Time now, const std::string& name);
 
-    double boot_limit_s(const MachineType& type) const { return policy_.boot_limit_s * type.boot_s; }
+    double boot_limit_s(const MachineType& type) const {
+        return policy_.boot_limit_s * type.boot_s;
+    }
 
   private:
     struct Pending {
--- a/src/core/machine_table.cpp
+++ b/src/core/machine_table.cpp
@@ -35,6 +35,12 @@
                        [&](const CachedImage& i) { return i.name == image; });
 }
 
+bool Machine::holds_exited(const TaskRef& task) const {
+    auto same = [&](const ListedTask& t) { return t.task == task; };
+    return std::any_of(finished.begin(), finished.end(), same) ||
+           std::any_of(foreign.begin(), foreign.end(), same);
+}
+
 void Machine::touch_image(const std::string& image, double gb) {
     std::erase_if(images, [&](const CachedImage& i) { return i.name == image; });
     images.push_back({image, gb});
@@ -86,8 +92,8 @@
 
 double MachineTable::lease_bound_s() const { return lease_s_ * (1 + kDrift) + margin_s_; }
 
-ListingResult MachineTable::listing(Time now, Machine& m, const Report& report,
-                                    std::uint64_t term, CallId orders) {
+ListingResult MachineTable::listing(Time now, Machine& m, const Report& report, std::uint64_t term,
+                                    CallId orders) {
     ListingResult result;
     if (report.session <= m.lapsed_session) {
         return result;
--- a/src/core/machine_table.h
+++ b/src/core/machine_table.h
@@ -65,15 +65,17 @@
     CallId orders = 0;
     std::map<TaskRef, Placement> tasks;
     std::vector<Command> outbox;
-    std::vector<ListedTask> foreign; // listed, not ours: they are stopped and cleared
+    std::vector<ListedTask> foreign;  // listed, not ours: they are stopped and cleared
     std::vector<ListedTask> finished; // exited, cleared once durable
-    std::vector<CachedImage> images; // most recently used last
+    std::vector<CachedImage> images;  // most recently used last
 
     double free_cpus() const;
     double free_gpus() const;
     double free_ram() const;
     bool warm(const std::string& image) const;
     bool has_foreign() const;
+    // An exited attempt of the task is listed still: another would be refused as busy.
+    bool holds_exited(const TaskRef& task) const;
     void touch_image(const std::string& image, double gb);
 };
 
@@ -100,8 +102,8 @@
     std::vector<ListingResult::Gone> remove(const std::string& name);
 
     // A report from /v1/report, or the worker's report in the answer to the call `orders`.
-    ListingResult listing(Time now, Machine& machine, const Report& report,
-                          std::uint64_t term, CallId orders);
+    ListingResult listing(Time now, Machine& machine, const Report& report, std::uint64_t term,
+                          CallId orders);
     // A listed task that an owner before us started: it is ours now.
     static void adopt(Time now, Machine& machine, const ListedTask& listed, Placement placement);
     // No answer to direct commands: they may be executed yet, unless a higher token comes first.
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -28,14 +28,12 @@
 }
 } // namespace
 
-PartOwner::PartOwner(Time now, const Facts& facts, const Policy& policy,
-                     const Authority& authority, StateBudget& budget,
-                     const std::vector<MachineType>& types)
+PartOwner::PartOwner(Time now, const Facts& facts, const Policy& policy, const Authority& authority,
+                     StateBudget& budget, const std::vector<MachineType>& types)
     : facts_(facts), policy_(policy), authority_(authority),
-      calls_(budget, (authority.term() << 32) + 1), types_(types),
-      term_(authority.term()), since_(now), jobs_(chunk_tasks(facts)),
-      machines_(facts.lease_s, facts.lease_s * kMargin), teams_(facts.teams),
-      fleet_(facts, policy, authority.term()) {
+      calls_(budget, (authority.term() << 32) + 1), types_(types), term_(authority.term()),
+      since_(now), jobs_(chunk_tasks(facts)), machines_(facts.lease_s, facts.lease_s * kMargin),
+      teams_(facts.teams), fleet_(facts, policy, authority.term()) {
     load(now, kJobs, "");
 }
 
@@ -156,25 +154,25 @@
     if (watching_ || !loaded_ || now < next_watch_) {
         return;
     }
-    watching_ = calls_.send_state(
-        now, StateBudget::Use::user, Watch{kJobs, watch_from_, facts_.lease_s / 3},
-        [this](Time at, CallReply& reply) {
-            watching_ = false;
-            if (reply.status == 200) {
-                watch_from_ = std::max(watch_from_, reply.revision);
-                for (const auto& item : reply.items) {
-                    take_record(at, item);
-                }
-                place(at);
-                send_orders(at);
-                watch(at);
-            } else if (reply.status == 410) {
-                load(at, kJobs, "");
-                next_watch_ = at + 1;
-            } else {
-                next_watch_ = at + 0.5;
-            }
-        });
+    watching_ = calls_.send_state(now, StateBudget::Use::user,
+                                  Watch{kJobs, watch_from_, facts_.lease_s / 3},
+                                  [this](Time at, CallReply& reply) {
+                                      watching_ = false;
+                                      if (reply.status == 200) {
+                                          watch_from_ = std::max(watch_from_, reply.revision);
+                                          for (const auto& item : reply.items) {
+                                              take_record(at, item);
+                                          }
+                                          place(at);
+                                          send_orders(at);
+                                          watch(at);
+                                      } else if (reply.status == 410) {
+                                          load(at, kJobs, "");
+                                          next_watch_ = at + 1;
+                                      } else {
+                                          next_watch_ = at + 0.5;
+                                      }
+                                  });
 }
 
 // Nothing is placed until every machine that may carry a task of an owner before us is accounted
@@ -232,8 +230,8 @@
         calls_.answer(request, 503, Plain{"session is over"}, 1);
         return;
     }
-    bool current = report.session > m->session ||
-                   (report.session == m->session && report.tick > m->tick);
+    bool current =
+        report.session > m->session || (report.session == m->session && report.tick > m->tick);
     m->endpoint = report.endpoint;
     m->zone = report.zone;
     m->spot = report.spot;
@@ -434,9 +432,9 @@
                                    [&](const std::string& name) {
                                        const Machine& m = *machines_.find(name);
                                        return zone_allowed(job, m.zone) &&
-                                              m.free_cpus() >= s.cpus &&
-                                              m.free_ram() >= s.ram_gb &&
+                                              m.free_cpus() >= s.cpus && m.free_ram() >= s.ram_gb &&
                                               m.free_gpus() >= s.gpus && m.orders == 0 &&
+                                              !m.holds_exited({s.id, task}) &&
                                               (!warm || m.warm(s.image));
                                    });
                 if (found) {
@@ -517,25 +515,25 @@
         }
         std::uint64_t token = make_token(term_, m.sequence);
         auto commands = machines_.send_directly(m, token);
-        CallId call = calls_.send(
-            Orders{name, m.endpoint, token, m.session, commands},
-            [this, name = name](Time at, CallReply& reply) {
-                Machine* machine = machines_.find(name);
-                if (!machine || machine->orders != reply.call) {
-                    return;
-                }
-                machine->orders = 0;
-                if (reply.report && reply.report->machine == name &&
-                    (reply.status == 200 || reply.status == 409)) {
-                    apply(at, *machine, *reply.report, reply.call);
-                } else {
-                    machines_.fence(*machine);
-                    relist(*machine);
-                    calls_.log(Level::info, "event=orders_unanswered machine=" + name);
-                }
-                place(at);
-                send_orders(at);
-            });
+        CallId call =
+            calls_.send(Orders{name, m.endpoint, token, m.session, commands},
+                        [this, name = name](Time at, CallReply& reply) {
+                            Machine* machine = machines_.find(name);
+                            if (!machine || machine->orders != reply.call) {
+                                return;
+                            }
+                            machine->orders = 0;
+                            if (reply.report && reply.report->machine == name &&
+                                (reply.status == 200 || reply.status == 409)) {
+                                apply(at, *machine, *reply.report, reply.call);
+                            } else {
+                                machines_.fence(*machine);
+                                relist(*machine);
+                                calls_.log(Level::info, "event=orders_unanswered machine=" + name);
+                            }
+                            place(at);
+                            send_orders(at);
+                        });
         machines_.sent_directly(m, commands, call);
     }
 }
@@ -629,9 +627,8 @@
             break;
         }
         room -= size;
-        txn.then.push_back({progress_key(dirty[n].job, dirty[n].chunk),
-                            ProgressRecord{std::move(bits)},
-                            {}});
+        txn.then.push_back(
+            {progress_key(dirty[n].job, dirty[n].chunk), ProgressRecord{std::move(bits)}, {}});
     }
     dirty.resize(n);
     saving_ = calls_.send_state(now, StateBudget::Use::progress, std::move(txn),
@@ -660,20 +657,20 @@
             txn.then.push_back({progress_key(id, c), {}, {}});
         }
     }
-    job.finishing = calls_.send_state(
-        now, StateBudget::Use::user, std::move(txn), [this, id](Time at, CallReply& reply) {
-            Job* j = jobs_.find(id);
-            if (j) {
-                j->finishing = false;
-            }
-            if (wrote(reply, "outcome")) {
-                calls_.log(Level::info, "event=job_done job=" + id);
-                jobs_.final(id, Outcome::done);
-                jobs_.drop(id);
-            } else if (reply.status == 409 && !deposed_) {
-                reread_job(at, id);
-            }
-        });
+    job.finishing = calls_.send_state(now, StateBudget::Use::user, std::move(txn),
+                                      [this, id](Time at, CallReply& reply) {
+                                          Job* j = jobs_.find(id);
+                                          if (j) {
+                                              j->finishing = false;
+                                          }
+                                          if (wrote(reply, "outcome")) {
+                                              calls_.log(Level::info, "event=job_done job=" + id);
+                                              jobs_.final(id, Outcome::done);
+                                              jobs_.drop(id);
+                                          } else if (reply.status == 409 && !deposed_) {
+                                              reread_job(at, id);
+                                          }
+                                      });
 }
 
 // Its key has changed under us: a cancel came first, or our own write took effect unseen.
@@ -787,8 +784,8 @@
         Machine& m = *machines_.find(name);
         m.releasing = true;
         relist(m);
-        calls_.log(Level::info, "event=release machine=" + name +
-                                    " tasks=" + std::to_string(m.tasks.size()));
+        calls_.log(Level::info,
+                   "event=release machine=" + name + " tasks=" + std::to_string(m.tasks.size()));
     }
     calls_.send(Release{names}, [this, names](Time at, CallReply& reply) {
         for (const auto& name : names) {
--- a/src/core/slot_lists.cpp
+++ b/src/core/slot_lists.cpp
@@ -11,8 +11,7 @@
 
 int slots_needed(const MachineType& type, double cpus, double ram_gb) {
     double share = type.ram_gb / type.cpus;
-    return std::max(1, static_cast<int>(
-                           std::ceil(std::max(cpus, ram_gb / share) - kRounding)));
+    return std::max(1, static_cast<int>(std::ceil(std::max(cpus, ram_gb / share) - kRounding)));
 }
 
 int slots_idle(double free_cpus, double free_ram_gb, const MachineType& type) {
--- a/src/core/slot_lists.h
+++ b/src/core/slot_lists.h
@@ -24,8 +24,7 @@
     void set(const SlotKind& kind, const std::string& machine, int slots);
     void remove(const std::string& machine);
     // The first machine, fewest idle slots first, that has `slots` and that `ok` accepts.
-    template <class Ok>
-    const std::string* pop(const SlotKind& kind, int slots, Ok&& ok) const {
+    template <class Ok> const std::string* pop(const SlotKind& kind, int slots, Ok&& ok) const {
         auto it = lists_.find(kind);
         if (it == lists_.end()) {
             return nullptr;
--- a/src/core/user_desk.cpp
+++ b/src/core/user_desk.cpp
@@ -29,8 +29,8 @@
         return "over the team's limit";
     }
     bool fits = std::any_of(types.begin(), types.end(), [&](const MachineType& t) {
-        bool allowed = !s.types || std::find(s.types->begin(), s.types->end(), t.name) !=
-                                       s.types->end();
+        bool allowed =
+            !s.types || std::find(s.types->begin(), s.types->end(), t.name) != s.types->end();
         bool here = !s.zone || std::find(t.zones.begin(), t.zones.end(), *s.zone) != t.zones.end();
         return allowed && here && s.cpus <= t.cpus && s.gpus <= t.gpus && s.ram_gb <= t.ram_gb;
     });
@@ -165,18 +165,18 @@
              Txn txn;
              txn.when.push_back({item.key, item.version});
              txn.then.push_back({item.key, std::move(record), {}});
-             bool sent = calls_.send_state(
-                 at, StateBudget::Use::user, std::move(txn),
-                 [this, cancel, tries_left](Time later, CallReply& reply) {
-                     if (reply.status == 200) {
-                         remember(cancel.job, Outcome::cancelled);
-                         answer_final(cancel.request, cancel.job, 200);
-                     } else if (reply.status == 409 && tries_left > 0) {
-                         this->cancel(later, cancel, tries_left - 1);
-                     } else {
-                         busy(cancel.request);
-                     }
-                 });
+             bool sent =
+                 calls_.send_state(at, StateBudget::Use::user, std::move(txn),
+                                   [this, cancel, tries_left](Time later, CallReply& reply) {
+                                       if (reply.status == 200) {
+                                           remember(cancel.job, Outcome::cancelled);
+                                           answer_final(cancel.request, cancel.job, 200);
+                                       } else if (reply.status == 409 && tries_left > 0) {
+                                           this->cancel(later, cancel, tries_left - 1);
+                                       } else {
+                                           busy(cancel.request);
+                                       }
+                                   });
              if (!sent) {
                  busy(cancel.request);
              }
--- a/src/core/user_desk.h
+++ b/src/core/user_desk.h
@@ -11,7 +11,8 @@
 
 class UserDesk {
   public:
-    UserDesk(const Facts& facts, Calls& calls) : facts_(facts), calls_(calls), teams_(facts.teams) {}
+    UserDesk(const Facts& facts, Calls& calls)
+        : facts_(facts), calls_(calls), teams_(facts.teams) {}
 
     void submit(Time now, const Submit& submit, const std::vector<MachineType>& types);
     // `counts`: tasks done and running as the owner knows them, if this node is the owner.
@@ -26,8 +27,7 @@
     bool answer_final(RequestId request, const std::string& id, int status);
     // Reads the job and answers with its state; `then` takes over when it is still open.
     using Open = std::function<void(Time, const KeyedRecord&)>;
-    void read(Time now, StateBudget::Use use, RequestId request, const std::string& id,
-              Open then);
+    void read(Time now, StateBudget::Use use, RequestId request, const std::string& id, Open then);
     void busy(RequestId request) { calls_.answer(request, 503, Plain{"state service"}, 1); }
 
     Facts facts_;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -67,14 +67,13 @@
             timeout_s = endpoints_.report_s * 2;
         }
         if (!kept) {
-            kept = connect(http.service == wire::Service::state ? endpoints_.state
-                                                                : endpoints_.cloud,
-                           timeout_s);
+            kept =
+                connect(http.service == wire::Service::state ? endpoints_.state : endpoints_.cloud,
+                        timeout_s);
         }
         client = kept.get();
     }
-    client->set_read_timeout(
-        std::chrono::milliseconds(int((timeout_s + http.wait_s) * 1000)));
+    client->set_read_timeout(std::chrono::milliseconds(int((timeout_s + http.wait_s) * 1000)));
     httplib::Result result = http.method == "GET"
                                  ? client->Get(http.path)
                                  : client->Post(http.path, http.body, wire::kContentType);
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -56,8 +56,7 @@
     return asked_[id].get_future();
 }
 
-std::optional<Answer> EventLoop::wait(std::future<Answer>& future, RequestId id,
-                                      double timeout_s) {
+std::optional<Answer> EventLoop::wait(std::future<Answer>& future, RequestId id, double timeout_s) {
     if (future.wait_for(std::chrono::duration<double>(timeout_s)) == std::future_status::ready) {
         return future.get();
     }
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -81,40 +81,40 @@
     });
     // Users give up on a submission after 5 s and on a poll after 2 s, workers after 4 s.
     double timeout_s = limits.report_s;
-    http_->Post(wire::kJobsPath, [this, timeout_s](const httplib::Request& req,
-                                                   httplib::Response& res) {
-        try {
-            reply(res, loop_.ask(Submit{0, wire::parse_job(req.body)}, timeout_s));
-        } catch (const wire::BadMessage& bad) {
-            refuse(res, 400, bad.what());
-        }
-    });
-    http_->Get(R"(/work/([^/]+))", [this, timeout_s](const httplib::Request& req,
-                                                     httplib::Response& res) {
-        std::string id = req.matches[1];
-        if (!wire::valid_job_id(id)) {
-            refuse(res, 404, "no such job");
-            return;
-        }
-        reply(res, loop_.ask(Poll{0, id}, timeout_s / 2));
-    });
-    http_->Post(R"(/work/([^/]+)/withdraw)", [this, timeout_s](const httplib::Request& req,
-                                                               httplib::Response& res) {
-        std::string id = req.matches[1];
-        if (!wire::valid_job_id(id)) {
-            refuse(res, 404, "no such job");
-            return;
-        }
-        reply(res, loop_.ask(Cancel{0, id}, timeout_s));
-    });
-    http_->Post(wire::kReportPath, [this, timeout_s](const httplib::Request& req,
-                                                     httplib::Response& res) {
-        try {
-            reply(res, loop_.ask(WorkerReport{0, wire::parse_report(req.body)}, timeout_s));
-        } catch (const wire::BadMessage& bad) {
-            refuse(res, 400, bad.what());
-        }
-    });
+    http_->Post(wire::kJobsPath,
+                [this, timeout_s](const httplib::Request& req, httplib::Response& res) {
+                    try {
+                        reply(res, loop_.ask(Submit{0, wire::parse_job(req.body)}, timeout_s));
+                    } catch (const wire::BadMessage& bad) {
+                        refuse(res, 400, bad.what());
+                    }
+                });
+    http_->Get(R"(/work/([^/]+))",
+               [this, timeout_s](const httplib::Request& req, httplib::Response& res) {
+                   std::string id = req.matches[1];
+                   if (!wire::valid_job_id(id)) {
+                       refuse(res, 404, "no such job");
+                       return;
+                   }
+                   reply(res, loop_.ask(Poll{0, id}, timeout_s / 2));
+               });
+    http_->Post(R"(/work/([^/]+)/withdraw)",
+                [this, timeout_s](const httplib::Request& req, httplib::Response& res) {
+                    std::string id = req.matches[1];
+                    if (!wire::valid_job_id(id)) {
+                        refuse(res, 404, "no such job");
+                        return;
+                    }
+                    reply(res, loop_.ask(Cancel{0, id}, timeout_s));
+                });
+    http_->Post(
+        wire::kReportPath, [this, timeout_s](const httplib::Request& req, httplib::Response& res) {
+            try {
+                reply(res, loop_.ask(WorkerReport{0, wire::parse_report(req.body)}, timeout_s));
+            } catch (const wire::BadMessage& bad) {
+                refuse(res, 400, bad.what());
+            }
+        });
     http_->Get(wire::kReadyPath, [this](const httplib::Request&, httplib::Response& res) {
         reply(res, loop_.ask(ReadyProbe{0}, 1));
     });
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -21,9 +21,8 @@
 constexpr std::array<std::string_view, 3> kOutcomes{"none", "done", "aborted"};
 constexpr std::array<std::string_view, 5> kStages{"pulling", "waiting", "running", "flushing",
                                                   "exited"};
-constexpr std::array<std::string_view, 9> kWhys{"none",  "done",  "halted",  "mates_gone",
-                                                "incomplete", "error", "no_room", "busy",
-                                                "unknown"};
+constexpr std::array<std::string_view, 9> kWhys{
+    "none", "done", "halted", "mates_gone", "incomplete", "error", "no_room", "busy", "unknown"};
 constexpr std::array<std::string_view, 3> kOps{"launch", "stop", "clear"};
 constexpr std::array<std::string_view, 3> kHostStages{"booting", "running", "failed"};
 
@@ -117,8 +116,7 @@
         }
         return d;
     }
-    static std::vector<const msgpack::object*> list_of(const msgpack::object& v,
-                                                       const char* name) {
+    static std::vector<const msgpack::object*> list_of(const msgpack::object& v, const char* name) {
         if (v.type != msgpack::type::ARRAY) {
             throw BadMessage(std::string(name) + ": not a list");
         }
@@ -137,9 +135,9 @@
     try {
         std::size_t used = 0;
         // Nesting and sizes are bounded: a body from outside may claim anything.
-        auto handle = msgpack::unpack(body.data(), body.size(), used, nullptr, nullptr,
-                                      msgpack::unpack_limit(1 << 20, 1 << 20, 1 << 20, 1 << 20,
-                                                            1 << 20, 32));
+        auto handle =
+            msgpack::unpack(body.data(), body.size(), used, nullptr, nullptr,
+                            msgpack::unpack_limit(1 << 20, 1 << 20, 1 << 20, 1 << 20, 1 << 20, 32));
         if (used != body.size()) {
             throw BadMessage("not MessagePack: more than one value");
         }
--- /dev/null
+++ b/tests/core_test.cpp
@@ -0,0 +1,337 @@
+// The core against scripted peers and a fake clock.
+#include <gtest/gtest.h>
+
+#include "world.h"
+
+namespace orchidlanding::test {
+namespace {
+
+std::string stage(World& w, int node, const std::string& job) {
+    RequestId id = w.poll(node, job);
+    w.run_for(0.5);
+    auto it = w.answers.find(id);
+    if (it == w.answers.end() || it->second.status != 200) {
+        return it == w.answers.end() ? "no answer" : std::to_string(it->second.status);
+    }
+    return std::get<JobAnswer>(it->second.body).stage;
+}
+
+// A world where the machines for the first job are up and its tasks run.
+void start(World& w, const std::string& id, std::uint32_t tasks) {
+    w.run_for(3);
+    RequestId request = w.submit(0, w.job(id, tasks));
+    w.run_for(0.5);
+    ASSERT_EQ(w.answers.at(request).status, 201);
+    for (int i = 0; i < 200 && w.machines_of({id, 0}).empty(); ++i) {
+        w.run_for(0.25);
+    }
+    ASSERT_EQ(w.machines_of({id, 0}).size(), 1u);
+}
+
+TEST(Service, RunsAJobToItsEndAndEveryNodeSaysSo) {
+    World w({});
+    start(w, "req-1", 5);
+    w.run_for(30);
+    EXPECT_TRUE(w.all_done("req-1"));
+    for (int node = 0; node < 3; ++node) {
+        EXPECT_EQ(stage(w, node, "req-1"), "done");
+    }
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+}
+
+TEST(Service, AnswersARetryWithTheStateAndAnUnknownJobWith404) {
+    World w({});
+    start(w, "req-1", 2);
+    RequestId again = w.submit(1, w.job("req-1", 2));
+    RequestId unknown = w.poll(2, "req-99");
+    w.run_for(0.5);
+    EXPECT_EQ(w.answers.at(again).status, 200);
+    EXPECT_EQ(w.answers.at(unknown).status, 404);
+    w.run_for(30);
+    RequestId later = w.submit(2, w.job("req-1", 2));
+    w.run_for(0.5);
+    EXPECT_EQ(std::get<JobAnswer>(w.answers.at(later).body).stage, "done");
+}
+
+TEST(Service, RefusesWhatCanNeverRun) {
+    World w({});
+    w.run_for(3);
+    JobSpec team = w.job("req-1", 1);
+    team.team = "nobody";
+    JobSpec large = w.job("req-2", 1, 9);
+    JobSpec limit = w.job("req-3", 1, 25);
+    JobSpec gang = w.job("req-4", 2);
+    gang.kind = JobKind::gang;
+    std::vector<RequestId> ids{w.submit(0, team), w.submit(0, large), w.submit(0, limit),
+                               w.submit(0, gang)};
+    w.run_for(0.5);
+    EXPECT_EQ(w.answers.at(ids[0]).status, 422);
+    EXPECT_EQ(w.answers.at(ids[1]).status, 422);
+    EXPECT_EQ(w.answers.at(ids[2]).status, 422);
+    EXPECT_EQ(w.answers.at(ids[3]).status, 503);
+    EXPECT_GT(w.answers.at(ids[3]).retry_after_s, 0);
+}
+
+TEST(Service, KeepsATeamWithinItsLimitWithManyTasksWaiting) {
+    World w({});
+    start(w, "req-1", 60);
+    double most = 0;
+    for (int i = 0; i < 100; ++i) {
+        w.run_for(0.5);
+        most = std::max(most, w.used("red"));
+    }
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+    EXPECT_GT(most, 16);
+    EXPECT_LE(most, 24);
+}
+
+TEST(NeverTwice, AStartWithoutAnAnswerIsNotRepeatedUntilFenced) {
+    World w({});
+    bool swallow = true;
+    int swallowed = 0;
+    w.intercept = [&](int, const CallBody& body) {
+        bool hit = swallow && std::holds_alternative<Orders>(body);
+        swallowed += hit;
+        return hit;
+    };
+    w.run_for(3);
+    w.submit(0, w.job("req-1", 2));
+    w.run_for(30);
+    swallow = false;
+    w.run_for(60);
+    EXPECT_TRUE(w.all_done("req-1"));
+    EXPECT_EQ(w.starts({"req-1", 0}), 1);
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+}
+
+TEST(NeverTwice, ASilentMachinesTaskMovesOnlyAfterItIsGone) {
+    World w({.run_s = 60});
+    start(w, "req-1", 1);
+    std::string machine = *w.machines_of({"req-1", 0}).begin();
+    w.cut_machine(machine, true);
+    w.run_for(40);
+    EXPECT_EQ(w.starts({"req-1", 0}), 2); // started again
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+}
+
+TEST(Takeover, TasksGoOnWhenTheOwnerCrashes) {
+    World w({.run_s = 30});
+    start(w, "req-1", 6);
+    w.run_for(1);
+    int owner = w.owner();
+    w.crash(owner, 60);
+    w.run_for(80);
+    EXPECT_NE(w.owner(), -1);
+    EXPECT_TRUE(w.all_done("req-1"));
+    for (std::uint32_t i = 0; i < 6; ++i) {
+        EXPECT_EQ(w.starts({"req-1", i}), 1);
+    }
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+}
+
+TEST(Takeover, WithASilentMachineNothingOfItIsStartedBeforeItsLeaseIsOver) {
+    World w({.run_s = 100});
+    start(w, "req-1", 1);
+    std::string machine = *w.machines_of({"req-1", 0}).begin();
+    w.cloud_down(true);
+    w.cut_machine(machine, true);
+    int owner = w.owner();
+    w.crash(owner, 2);
+    w.run_for(60);
+    EXPECT_GE(w.starts({"req-1", 0}), 1);
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+}
+
+TEST(Takeover, AllNodesAtOnceLoseNothing) {
+    World w({.run_s = 20});
+    start(w, "req-1", 6);
+    for (int i = 0; i < 3; ++i) {
+        w.crash(i, 6);
+    }
+    w.run_for(60);
+    EXPECT_TRUE(w.all_done("req-1"));
+    EXPECT_EQ(stage(w, 1, "req-1"), "done");
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+}
+
+TEST(Authority, EndsWithoutTheStateServiceAndComesBack) {
+    World w({.run_s = 100});
+    start(w, "req-1", 2);
+    w.state_down(true);
+    w.run_for(60);
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+    w.state_down(false);
+    w.run_for(250);
+    EXPECT_TRUE(w.all_done("req-1"));
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+}
+
+TEST(Authority, MovesWhenTheStateServiceRefusesTheOwnerAlone) {
+    World w({.run_s = 40});
+    start(w, "req-1", 4);
+    int owner = w.owner();
+    w.state_refuses(owner, true);
+    w.run_for(40);
+    EXPECT_NE(w.owner(), owner);
+    w.state_refuses(owner, false);
+    w.run_for(100);
+    EXPECT_TRUE(w.all_done("req-1"));
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+}
+
+TEST(Authority, MovesWhenNoWorkerReachesTheOwner) {
+    World w({.run_s = 40});
+    start(w, "req-1", 12);
+    w.run_for(5);
+    int owner = w.owner();
+    w.cut_workers(owner, true);
+    w.run_for(60);
+    EXPECT_NE(w.owner(), owner);
+    w.run_for(120);
+    EXPECT_TRUE(w.all_done("req-1"));
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+}
+
+TEST(Cancel, StopsTasksEvenThoseWhoseStartIsInFlight) {
+    World w({.run_s = 200});
+    start(w, "req-1", 4);
+    RequestId id = w.cancel(1, "req-1");
+    w.run_for(10);
+    EXPECT_EQ(std::get<JobAnswer>(w.answers.at(id).body).stage, "cancelled");
+    for (std::uint32_t i = 0; i < 4; ++i) {
+        EXPECT_TRUE(w.machines_of({"req-1", i}).empty());
+    }
+    EXPECT_EQ(w.used("red"), 0);
+    EXPECT_EQ(stage(w, 2, "req-1"), "cancelled");
+}
+
+TEST(Cancel, AgainstAFinishOneOfTheTwoHoldsForEver) {
+    for (int k = 0; k < 20; ++k) {
+        World w({.seed = 100u + k, .run_s = 4});
+        start(w, "req-1", 1);
+        w.run_for(1 + 0.3 * k);
+        w.cancel(k % 3, "req-1");
+        w.run_for(2);
+        std::string first = stage(w, 0, "req-1");
+        EXPECT_TRUE(first == "done" || first == "cancelled") << first;
+        w.run_for(10);
+        EXPECT_EQ(stage(w, 1, "req-1"), first);
+        EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+    }
+}
+
+TEST(State, AnUnreadableRecordIsNeitherAbsentNorOverwritten) {
+    World w({});
+    w.put("job/req-7", Unreadable{});
+    w.run_for(3);
+    RequestId poll = w.poll(0, "req-7");
+    RequestId cancel = w.cancel(0, "req-7");
+    RequestId submit = w.submit(0, w.job("req-7", 1));
+    w.run_for(1);
+    EXPECT_EQ(w.answers.at(poll).status, 503);
+    EXPECT_EQ(w.answers.at(cancel).status, 503);
+    EXPECT_EQ(w.answers.at(submit).status, 503);
+}
+
+TEST(Job, ThatFailsEverywhereTakesNoMachineDownWithIt) {
+    World w({.error = 1.0});
+    w.run_for(3);
+    w.submit(0, w.job("req-1", 1));
+    w.run_for(120);
+    EXPECT_LT(w.starts({"req-1", 0}), 15);
+    EXPECT_FALSE(w.machines_up().empty());
+}
+
+TEST(Budget, RenewalsGoOutEvenWhenUsersUseEverything) {
+    StateBudget budget(100, 20, 3);
+    int users = 0;
+    while (budget.take(1, StateBudget::Use::user, 1)) {
+        ++users;
+    }
+    EXPECT_GT(users, 5);
+    EXPECT_FALSE(budget.take(1, StateBudget::Use::poll, 0) &&
+                 budget.take(1, StateBudget::Use::progress, 1));
+    EXPECT_TRUE(budget.take(1, StateBudget::Use::renewal, 0));
+    budget.refused(1);
+    EXPECT_FALSE(budget.take(1.1, StateBudget::Use::progress, 1));
+    EXPECT_TRUE(budget.take(1.1, StateBudget::Use::renewal, 0));
+}
+
+TEST(Slots, AreCountedByCpuAndMemoryAndFoundFewestFirst) {
+    MachineType t{"m8", 8, 0, 32, 0, 0, 0, 0, 0, {}};
+    EXPECT_EQ(slots_needed(t, 2, 4), 2);
+    EXPECT_EQ(slots_needed(t, 2, 13), 4);
+    EXPECT_EQ(slots_idle(8, 10, t), 2);
+    SlotLists lists;
+    SlotKind kind{"m8", false};
+    lists.set(kind, "a", 8);
+    lists.set(kind, "b", 3);
+    auto any = [](const std::string&) { return true; };
+    EXPECT_EQ(*lists.pop(kind, 2, any), "b");
+    EXPECT_EQ(*lists.pop(kind, 4, any), "a");
+    lists.remove("a");
+    EXPECT_EQ(lists.pop(kind, 4, any), nullptr);
+}
+
+// Several cores against lost, late and repeated messages, crashes, cuts, outages and drift. The
+// world checks the rules at every step; afterwards all work must come to its end.
+TEST(Random, RulesHoldUnderMixedFaults) {
+    for (std::uint64_t seed = 1; seed <= 25; ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        World w({.seed = seed, .drop = 0.03, .late = 0.03, .run_s = 10, .error = 0.02});
+        std::mt19937_64 random(seed);
+        auto any = [&](int n) { return static_cast<int>(random() % n); };
+        int jobs = 0;
+        std::set<std::string> cancelled;
+        for (int k = 0; k < 60; ++k) {
+            w.run_for(4);
+            if (k < 40) {
+                JobSpec s = w.job("req-" + std::to_string(++jobs), 1 + any(8), 1 + any(3));
+                s.team = any(2) ? "red" : "blue";
+                s.spot = any(2) != 0;
+                w.submit(any(3), s);
+            }
+            std::string job = "req-" + std::to_string(1 + any(std::max(1, jobs)));
+            switch (any(12)) {
+            case 0: w.crash(any(3), 1 + any(20)); break;
+            case 1: w.state_down(true); break;
+            case 2: w.state_refuses(any(3), true); break;
+            case 3: w.cut_workers(any(3), true); break;
+            case 4:
+                if (auto up = w.machines_up(); !up.empty()) {
+                    w.cut_machine(up[any(static_cast<int>(up.size()))], any(2) != 0);
+                }
+                break;
+            case 5:
+                if (auto up = w.machines_up(); !up.empty()) {
+                    w.kill_machine(up[any(static_cast<int>(up.size()))]);
+                }
+                break;
+            case 6: w.cancel(any(3), job); break;
+            case 7: w.cloud_down(any(2) != 0); break;
+            default:
+                w.state_down(false);
+                for (int n = 0; n < 3; ++n) {
+                    w.state_refuses(n, false);
+                    w.cut_workers(n, false);
+                }
+                w.poll(any(3), job);
+            }
+            ASSERT_TRUE(w.broken.empty()) << w.broken.front() << " at " << w.now();
+        }
+        w.state_down(false);
+        w.cloud_down(false);
+        for (int n = 0; n < 3; ++n) {
+            w.state_refuses(n, false);
+            w.cut_workers(n, false);
+        }
+        w.run_for(400);
+        ASSERT_TRUE(w.broken.empty()) << w.broken.front();
+        for (const auto& [id, outcome] : w.outcomes()) {
+            EXPECT_NE(outcome, Outcome::none) << id;
+        }
+    }
+}
+
+} // namespace
+} // namespace orchidlanding::test
--- /dev/null
+++ b/tests/net_test.cpp
@@ -0,0 +1,147 @@
+// Sockets and threads round the core, on loopback: a stand-in for the state service and the
+// cloud, users' requests, bad input. Nothing here depends on how long anything takes.
+#include <gtest/gtest.h>
+#include <httplib.h>
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+#include "net/clients.h"
+#include "net/event_loop.h"
+#include "net/server.h"
+#include "net/thread_pool.h"
+#include "policy/defaults.h"
+#include "wire/codec.h"
+
+namespace orchidlanding::test {
+namespace {
+
+Facts facts() {
+    Facts f;
+    f.node = "n0";
+    f.teams = {{"red", 8, 16, 0, 0}};
+    f.report_s = 3;
+    f.lease_s = 17;
+    f.cancel_s = 42;
+    f.state_rps = 100;
+    f.state_write_rps = 20;
+    f.value_kb = 4;
+    f.txn_ops = 12;
+    f.cloud_rps = 6;
+    f.list_lag_s = 8;
+    return f;
+}
+
+// The server and the event loop with no service behind them: calls are never answered.
+class NetServer : public testing::Test {
+  protected:
+    NetServer()
+        : core_(facts(), policy::defaults(facts())),
+          loop_(
+              core_, [](const Call&) {}, [](const LogLine&) {}),
+          server_(loop_, {1000, 3}) {}
+    void SetUp() override {
+        ASSERT_TRUE(server_.bind("127.0.0.1", 0));
+        loop_thread_ = std::thread([this] { loop_.run(); });
+        server_thread_ = std::thread([this] { server_.run(); });
+        while (!client().Get("/nothing")) {
+            std::this_thread::yield();
+        }
+    }
+    void TearDown() override {
+        server_.stop();
+        server_thread_.join();
+        loop_.stop();
+        loop_thread_.join();
+    }
+    httplib::Client client() const { return httplib::Client("127.0.0.1", server_.port()); }
+
+    Controller core_;
+    net::EventLoop loop_;
+    net::Server server_;
+    std::thread loop_thread_;
+    std::thread server_thread_;
+};
+
+TEST_F(NetServer, RefusesBadInputAtOnceAndGoesOn) {
+    for (const std::string& body :
+         {std::string(""), std::string("\x01"), std::string("\xc1"), std::string("\x80"),
+          std::string("\xdf\xff\xff\xff\xff"), std::string(70000, '\x80')}) {
+        auto result = client().Post("/work", body, wire::kContentType);
+        ASSERT_TRUE(result);
+        EXPECT_EQ(result->status, 400);
+        auto report = client().Post("/v1/report", body, wire::kContentType);
+        ASSERT_TRUE(report);
+        EXPECT_EQ(report->status, 400);
+    }
+    auto path = client().Get("/work/" + std::string(5000, 'a'));
+    ASSERT_TRUE(path);
+    EXPECT_EQ(path->status, 404);
+}
+
+TEST_F(NetServer, SaysWhenToComeBackWhileItCannotDecide) {
+    auto ready = client().Get("/ready");
+    ASSERT_TRUE(ready);
+    EXPECT_EQ(ready->status, 503);
+}
+
+TEST_F(NetServer, ServesManyAtOnce) {
+    std::atomic<int> answered{0};
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 40; ++i) {
+        threads.emplace_back([&] {
+            auto result = client().Get("/ready");
+            answered += result && result->status == 503;
+        });
+    }
+    for (auto& t : threads) {
+        t.join();
+    }
+    EXPECT_EQ(answered, 40);
+}
+
+TEST(NetClients, DeliverAnswersAndTheLackOfThem) {
+    httplib::Server stand_in;
+    stand_in.Get("/kv/(.*)", [](const httplib::Request&, httplib::Response& res) {
+        res.status = 404;
+        res.set_content(std::string("\x81\xa4ring\x05"), wire::kContentType);
+    });
+    int port = stand_in.bind_to_any_port("127.0.0.1");
+    std::thread serving([&] { stand_in.listen_after_bind(); });
+    std::promise<CallReply> first;
+    std::promise<CallReply> second;
+    net::Clients clients(
+        {"127.0.0.1:" + std::to_string(port), "127.0.0.1:1", 3},
+        [&](CallReply reply) { (reply.call == 1 ? first : second).set_value(std::move(reply)); });
+    clients.send({1, Get{"job/req-1"}});
+    clients.send({2, ListHosts{""}});
+    EXPECT_EQ(first.get_future().get().status, 404);
+    EXPECT_EQ(second.get_future().get().status, 0);
+    clients.stop();
+    stand_in.stop();
+    serving.join();
+}
+
+TEST(NetThreadPool, RunsEverythingAndRefusesTooMuch) {
+    std::atomic<int> ran{0};
+    std::promise<void> gate;
+    auto open = gate.get_future().share();
+    int taken = 0;
+    {
+        net::ThreadPool pool(2, 1);
+        for (int i = 0; i < 50; ++i) {
+            taken += pool.enqueue([&ran, open] {
+                open.wait();
+                ++ran;
+            });
+        }
+        gate.set_value();
+    }
+    EXPECT_EQ(ran, taken);
+    EXPECT_LT(taken, 50);
+    EXPECT_GE(taken, 8);
+}
+
+} // namespace
+} // namespace orchidlanding::test
--- /dev/null
+++ b/tests/wire_test.cpp
@@ -0,0 +1,146 @@
+// The codec: strict about what it takes, and its own inverse for what the state service keeps.
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <functional>
+#include <msgpack.hpp>
+
+#include "wire/codec.h"
+
+namespace orchidlanding::test {
+namespace {
+
+// A map whose values are packed already, so that a test can put anything there.
+using Object = std::map<std::string, std::string>;
+
+template <class T> std::string v(const T& value) {
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, value);
+    return {buffer.data(), buffer.size()};
+}
+
+Object good() {
+    return {{"uid", v(std::string("req-000412"))},
+            {"bloom", v(std::string("train"))},
+            {"grower", v(std::string("vision"))},
+            {"habit", v(std::string("batch"))},
+            {"rank", v(std::string("high"))},
+            {"petals", v(16)},
+            {"cpus", v(8.0)},
+            {"cards", v(0.0)},
+            {"ram_gb", v(64)},
+            {"bulb", v(std::string("img-07"))},
+            {"pull_gb", v(6.2)},
+            {"one_zone", v(true)},
+            {"spread", v(false)},
+            {"cuttings", v(true)},
+            {"bloom_s", v(240.0)},
+            {"pot_s", v(30.0)},
+            {"repot_s", v(4.0)},
+            {"show_s", v(900.0)},
+            {"unheard_of", v(1)}};
+}
+
+std::string pack(const Object& object) {
+    msgpack::sbuffer buffer;
+    msgpack::packer<msgpack::sbuffer> p(buffer);
+    p.pack_map(static_cast<std::uint32_t>(object.size()));
+    for (const auto& [name, value] : object) {
+        p.pack(name);
+        buffer.write(value.data(), value.size());
+    }
+    return {buffer.data(), buffer.size()};
+}
+
+TEST(Wire, TakesAGoodJob) {
+    JobSpec s = wire::parse_job(pack(good()));
+    EXPECT_EQ(s.id, "req-000412");
+    EXPECT_EQ(s.kind, JobKind::array);
+    EXPECT_EQ(s.priority, Priority::high);
+    EXPECT_EQ(s.tasks, 16u);
+    EXPECT_EQ(s.ram_gb, 64);
+    EXPECT_FALSE(s.types);
+    EXPECT_EQ(s.deadline_s, 900);
+}
+
+TEST(Wire, RefusesEachFieldThatIsMissingOrWrong) {
+    for (const char* name :
+         {"uid", "bloom", "grower", "habit", "rank", "petals", "cpus", "cards", "ram_gb", "bulb",
+          "pull_gb", "one_zone", "spread", "cuttings", "bloom_s", "pot_s", "repot_s"}) {
+        Object o = good();
+        o.erase(name);
+        EXPECT_THROW(wire::parse_job(pack(o)), wire::BadMessage) << name;
+    }
+    std::vector<std::pair<const char*, std::string>> wrong{{"uid", v(std::string("job 1"))},
+                                                           {"uid", v(std::string("req-"))},
+                                                           {"uid", v(std::string("req-1/2"))},
+                                                           {"petals", v(0)},
+                                                           {"petals", v(-3)},
+                                                           {"petals", v(100001)},
+                                                           {"petals", v(2.5)},
+                                                           {"cpus", v(-1.0)},
+                                                           {"cpus", v(std::nan(""))},
+                                                           {"cpus", v(INFINITY)},
+                                                           {"cpus", v(std::string("2"))},
+                                                           {"habit", v(std::string("x"))},
+                                                           {"rank", v(std::string(""))},
+                                                           {"cuttings", v(1)},
+                                                           {"show_s", v(-5.0)},
+                                                           {"benches", v(std::string("g"))},
+                                                           {"house", v(3)}};
+    for (const auto& [name, value] : wrong) {
+        Object o = good();
+        o[name] = value;
+        EXPECT_THROW(wire::parse_job(pack(o)), wire::BadMessage) << name;
+    }
+}
+
+TEST(Wire, RefusesWhatIsNotOneMap) {
+    for (const std::string& body :
+         {std::string(""), std::string("{\"uid\":1}"), std::string("\x93\x01\x02\x03"),
+          pack(good()) + "x", std::string(2000, '\x91')}) {
+        EXPECT_THROW(wire::parse_job(body), wire::BadMessage);
+    }
+}
+
+TEST(Wire, RecordsSurviveTheStateService) {
+    // What a transaction writes is what a read takes in.
+    JobSpec spec = wire::parse_job(pack(good()));
+    std::vector<bool> bits{true, false, false, true, true, false};
+    for (const auto& [key, record] : std::vector<std::pair<std::string, Record>>{
+             {"job/req-000412", JobRecord{Outcome::cancelled, spec}},
+             {"done/req-000412/0", ProgressRecord{bits}},
+             {"part/0", PartRecord{"n1"}},
+             {"machine/0/i-1", MachineRecord{"g8", "a", true}}}) {
+        auto http = wire::encode_call(Txn{{}, {{key, record, {}}}});
+        auto handle = msgpack::unpack(http.body.data(), http.body.size());
+        auto change = handle.get()
+                          .as<std::map<std::string, msgpack::object>>()["then"]
+                          .as<std::vector<std::map<std::string, msgpack::object>>>()[0];
+        msgpack::sbuffer buffer;
+        msgpack::pack(buffer, std::map<std::string, msgpack::object>{
+                                  {"data", change["data"]}, {"graft", msgpack::object(7)}});
+        CallReply reply = wire::decode_reply(1, Get{key}, 200, {buffer.data(), buffer.size()});
+        ASSERT_EQ(reply.status, 200) << key;
+        EXPECT_EQ(reply.items[0].version, 7u);
+        EXPECT_EQ(reply.items[0].record.index(), record.index()) << key;
+        if (const auto* p = std::get_if<ProgressRecord>(&reply.items[0].record)) {
+            for (std::size_t i = 0; i < bits.size(); ++i) {
+                EXPECT_EQ(p->done[i], bits[i]);
+            }
+        }
+        if (const auto* j = std::get_if<JobRecord>(&reply.items[0].record)) {
+            EXPECT_EQ(j->outcome, Outcome::cancelled);
+            EXPECT_EQ(j->spec->image, "img-07");
+        }
+    }
+}
+
+TEST(Wire, AnUnreadableAnswerCountsAsNone) {
+    EXPECT_EQ(wire::decode_reply(1, Get{"job/req-1"}, 200, "junk").status, 0);
+    EXPECT_EQ(wire::decode_reply(1, Catalog{}, 200, "\x80").status, 0);
+    EXPECT_EQ(wire::decode_reply(1, Txn{}, 503, "junk").status, 503);
+}
+
+} // namespace
+} // namespace orchidlanding::test
--- /dev/null
+++ b/tests/world.cpp
@@ -0,0 +1,765 @@
+#include "world.h"
+
+#include <algorithm>
+
+#include "policy/defaults.h"
+
+namespace orchidlanding::test {
+
+struct World::Node {
+    Facts facts;
+    std::unique_ptr<Controller> core;
+    int life = 0;
+    double rate = 1; // of its steady clock
+    bool refused_by_state = false;
+    bool cut_from_workers = false;
+};
+
+struct World::Worker {
+    struct Task {
+        std::uint64_t attempt = 0;
+        TaskStage stage = TaskStage::fetching;
+        ExitWhy why = ExitWhy::none;
+        Time next = 0; // image there, or run over
+    };
+    std::string name;
+    std::string zone;
+    bool spot = false;
+    bool up = false;
+    bool dead = false;
+    bool cut = false;
+    std::uint64_t session = 1;
+    std::uint64_t tick = 0;
+    std::uint64_t token = 0;
+    Time renewed = 0;
+    int node = 0;
+    double rate = 1;
+    std::uint64_t flight = 0; // the report in flight
+    std::map<TaskRef, Task> tasks;
+    std::set<std::pair<TaskRef, std::uint64_t>> cleared;
+};
+
+namespace {
+constexpr double kReport = 3;
+constexpr double kLease = 17;
+
+MachineType machine_type(double boot_s) {
+    return {"m8", 8, 0, 32, 20, 1, 1.0, 0.4, boot_s, {"a", "b"}};
+}
+} // namespace
+
+World::World(WorldOptions options) : options_(options), random_(options.seed) {
+    for (int i = 0; i < options_.nodes; ++i) {
+        auto node = std::make_unique<Node>();
+        Facts& f = node->facts;
+        f.node = "n" + std::to_string(i);
+        for (int j = 0; j < options_.nodes; ++j) {
+            if (j != i) {
+                f.siblings.push_back("n" + std::to_string(j));
+            }
+        }
+        f.zones = {"a", "b"};
+        f.teams = {{"red", 16, 24, 0, 0}, {"blue", 8, 40, 0, 0}};
+        f.report_s = kReport;
+        f.lease_s = kLease;
+        f.cancel_s = 42;
+        f.state_rps = 100;
+        f.state_write_rps = 20;
+        f.value_kb = 4;
+        f.txn_ops = 12;
+        f.cloud_rps = 6;
+        f.list_lag_s = 8;
+        node->rate = 1 + options_.drift * (i % 2 ? 1 : 0);
+        nodes_.push_back(std::move(node));
+        start_node(i);
+    }
+    std::function<void()> step = [this] {
+        expire_leases();
+        fire_watches();
+        for (const auto& [name, w] : workers_) {
+            worker_step(name);
+        }
+        for (const auto& [id, since] : told_cancelled_) {
+            if (now_ > since + 42) {
+                for (const auto& [name, w] : workers_) {
+                    for (const auto& [task, t] : w->tasks) {
+                        if (task.job == id && t.stage != TaskStage::exited &&
+                            t.stage != TaskStage::fetching) {
+                            broken.push_back("ran_cancelled " + id);
+                        }
+                    }
+                }
+            }
+        }
+        for (const auto& team : nodes_[0]->facts.teams) {
+            if (used(team.name) > team.cpus_max + 1e-6) {
+                broken.push_back("quota " + team.name);
+            }
+        }
+    };
+    auto again = std::make_shared<std::function<void()>>();
+    std::weak_ptr<std::function<void()>> weak = again;
+    *again = [this, step, weak] {
+        step();
+        if (auto self = weak.lock()) {
+            at(now_ + 0.1, [self] { (*self)(); });
+        }
+    };
+    at(0.1, [again] { (*again)(); });
+}
+
+World::~World() = default;
+
+const Facts& World::facts(int node) const { return nodes_[node]->facts; }
+
+void World::at(Time when, std::function<void()> work) {
+    events_.push({std::max(when, now_), ++sequence_, std::move(work)});
+}
+
+void World::run_until(Time end) {
+    while (!events_.empty() && events_.top().time <= end) {
+        Event e = events_.top();
+        events_.pop();
+        now_ = e.time;
+        e.work();
+    }
+    now_ = end;
+}
+
+double World::delay() { return std::uniform_real_distribution<>(0.001, 0.02)(random_); }
+
+// ---- Nodes ----
+
+void World::start_node(int i) {
+    Node& n = *nodes_[i];
+    ++n.life;
+    n.core = std::make_unique<Controller>(n.facts, policy::defaults(n.facts));
+    auto again = std::make_shared<std::function<void()>>();
+    std::weak_ptr<std::function<void()>> weak = again;
+    *again = [this, i, life = n.life, weak] {
+        auto self = weak.lock();
+        if (!self || nodes_[i]->life != life || !nodes_[i]->core) {
+            return;
+        }
+        input(i, Tick{});
+        at(now_ + 0.25, [self] { (*self)(); });
+    };
+    at(now_ + 0.01 * (i + 1), [again] { (*again)(); });
+}
+
+void World::crash(int i, double restart_s) {
+    nodes_[i]->core.reset();
+    ++nodes_[i]->life;
+    int life = nodes_[i]->life;
+    at(now_ + restart_s, [this, i, life] {
+        if (nodes_[i]->life == life) {
+            start_node(i);
+        }
+    });
+}
+
+void World::input(int i, Input in) {
+    Node& n = *nodes_[i];
+    if (n.core) {
+        carry_out(i, n.core->handle(1000.0 * i + now_ * n.rate, std::move(in)));
+    }
+}
+
+void World::carry_out(int i, Outputs out) {
+    for (const auto& a : out.answers) {
+        auto it = reports_.find(a.request);
+        if (it != reports_.end()) {
+            auto then = std::move(it->second);
+            reports_.erase(it);
+            if (!chance(options_.drop)) {
+                at(now_ + delay(), [then, a] { then(a); });
+            }
+            continue;
+        }
+        note_answer(a);
+        answers[a.request] = a;
+    }
+    for (const auto& c : out.calls) {
+        call(i, c);
+    }
+}
+
+void World::note_answer(const Answer& a) {
+    auto [what, id, asked] = asked_[a.request];
+    // An answer may not be older than what any user was told before it was asked for.
+    auto accepted = accepted_.find(id);
+    bool known = accepted != accepted_.end() && accepted->second < asked;
+    const auto* job = std::get_if<JobAnswer>(&a.body);
+    if (what == "submit" && (a.status == 400 || a.status == 422) && known) {
+        broken.push_back("forgotten " + id);
+    }
+    if (a.status == 404 && known) {
+        broken.push_back("forgotten " + id);
+    }
+    if (a.status == 200 && !specs_.contains(id)) {
+        broken.push_back("invented " + id);
+    }
+    if (!job || a.status > 201) {
+        return;
+    }
+    accepted_.emplace(id, now_);
+    auto told = told_final_.find(id);
+    if (told != told_final_.end() && told_when_[id] < asked && told->second != job->stage) {
+        broken.push_back("went_back " + id + " " + told->second + " " + job->stage);
+    }
+    if (job->stage == "done") {
+        told_final_[id] = "done";
+        told_when_.emplace(id, now_);
+        if (done_[id].size() != specs_[id].tasks) {
+            broken.push_back("not_done " + id);
+        }
+    }
+    if (job->stage == "cancelled") {
+        told_final_[id] = "cancelled";
+        told_when_.emplace(id, now_);
+        told_cancelled_.emplace(id, now_);
+    }
+}
+
+void World::deliver(int i, int life, CallReply reply) {
+    if (nodes_[i]->life == life) {
+        input(i, std::move(reply));
+    }
+}
+
+void World::call(int i, const Call& c) {
+    Node& n = *nodes_[i];
+    static constexpr const char* kNames[] = {"get",   "range",   "txn",     "grant",
+                                             "renew", "watch",   "catalog", "list",
+                                             "rent",  "release", "orders"};
+    ++call_counts_[kNames[c.body.index()]];
+    int life = n.life;
+    CallReply none;
+    none.call = c.id;
+    bool watch = std::holds_alternative<Watch>(c.body);
+    if (intercept && intercept(i, c.body)) {
+        at(now_ + 1.5, [=, this] { deliver(i, life, none); });
+        return;
+    }
+    bool lost = chance(options_.drop);
+    bool late = !watch && chance(options_.late);
+    if (lost || late) { // the caller hears nothing; the message may still arrive, much later
+        at(now_ + 1.5, [=, this] { deliver(i, life, none); });
+        if (lost && chance(0.5)) {
+            return;
+        }
+    }
+    double way = late ? std::uniform_real_distribution<>(2, 40)(random_) : delay();
+    bool silent = lost || late;
+    at(now_ + way, [=, this] {
+        CallReply reply;
+        if (std::holds_alternative<Orders>(c.body)) {
+            const auto& orders = std::get<Orders>(c.body);
+            auto it = workers_.find(orders.machine);
+            if (it == workers_.end() || it->second->dead || it->second->cut ||
+                nodes_[i]->cut_from_workers) {
+                if (!silent) {
+                    at(now_ + 1.5, [=, this] { deliver(i, life, none); });
+                }
+                return;
+            }
+            Worker& w = *it->second;
+            if (orders.token < w.token || orders.session != w.session) {
+                reply.status = 409;
+            } else {
+                w.token = orders.token;
+                execute(w, orders.commands);
+                reply.status = 200;
+            }
+            reply.report = report_of(w);
+        } else if (c.body.index() >= 6) {
+            if (cloud_down_) {
+                reply.status = 503;
+            } else {
+                serve_cloud(i, c);
+                reply.status = 200;
+                if (std::holds_alternative<Catalog>(c.body)) {
+                    reply.types = {machine_type(options_.boot_s)};
+                } else if (const auto* rent = std::get_if<Rent>(&c.body)) {
+                    reply.names = orders_[rent->order];
+                } else if (std::holds_alternative<ListHosts>(c.body)) {
+                    for (const auto& [name, w] : workers_) {
+                        reply.hosts.push_back({name, name + ":1", "m8", w->zone, w->spot,
+                                               w->up ? HostStage::running : HostStage::booting, 0});
+                    }
+                }
+            }
+        } else if (state_down_ || nodes_[i]->refused_by_state) {
+            if (watch) {
+                at(now_ + 3, [=, this] { deliver(i, life, none); });
+                return;
+            }
+            reply.status = 503;
+        } else if (const auto* w = std::get_if<Watch>(&c.body)) {
+            watchers_.push_back({i, life, c.id, w->prefix, w->since, now_ + w->wait_s});
+            fire_watches();
+            return;
+        } else {
+            reply = serve_state(i, c);
+        }
+        reply.call = c.id;
+        if (!silent) {
+            at(now_ + delay(), [=, this] { deliver(i, life, reply); });
+        }
+    });
+}
+
+// ---- State service ----
+
+void World::changed(const std::string& key, bool deleted) {
+    changes_.push_back({revision_, key, deleted});
+}
+
+void World::put(const std::string& key, Record record) {
+    ++revision_;
+    kv_[key] = {std::move(record), revision_, 0};
+    changed(key, false);
+}
+
+CallReply World::transact(const Txn& txn) {
+    CallReply r;
+    for (const auto& c : txn.when) {
+        auto it = kv_.find(c.key);
+        if ((it == kv_.end() ? 0 : it->second.version) != c.version) {
+            r.failed.push_back(c.key);
+        }
+    }
+    if (!r.failed.empty()) {
+        r.status = 409;
+        return r;
+    }
+    for (const auto& c : txn.then) {
+        if (c.lease && !leases_.contains(*c.lease)) {
+            r.status = 400;
+            return r;
+        }
+    }
+    if (!txn.then.empty()) {
+        ++revision_;
+    }
+    for (const auto& c : txn.then) {
+        if (c.put) {
+            kv_[c.key] = {*c.put, revision_, c.lease.value_or(0)};
+        } else {
+            kv_.erase(c.key);
+        }
+        changed(c.key, !c.put);
+    }
+    r.status = 200;
+    r.revision = revision_;
+    return r;
+}
+
+CallReply World::serve_state(int, const Call& c) {
+    expire_leases();
+    CallReply r;
+    r.status = 200;
+    if (const auto* get = std::get_if<Get>(&c.body)) {
+        auto it = kv_.find(get->key);
+        if (it == kv_.end()) {
+            r.status = 404;
+        } else {
+            r.items.push_back({get->key, it->second.record, it->second.version});
+        }
+    } else if (const auto* range = std::get_if<Range>(&c.body)) {
+        r.revision = revision_;
+        auto from =
+            range->after.empty() ? kv_.lower_bound(range->prefix) : kv_.upper_bound(range->after);
+        for (; from != kv_.end() && from->first.starts_with(range->prefix); ++from) {
+            if (r.items.size() == 5) {
+                r.more = true;
+                break;
+            }
+            r.items.push_back({from->first, from->second.record, from->second.version});
+        }
+    } else if (const auto* txn = std::get_if<Txn>(&c.body)) {
+        r = transact(*txn);
+        fire_watches();
+    } else if (const auto* grant = std::get_if<Grant>(&c.body)) {
+        r.lease = next_lease_++;
+        leases_[r.lease] = {now_ + grant->ttl_s, grant->ttl_s};
+    } else if (const auto* renew = std::get_if<Renew>(&c.body)) {
+        auto it = leases_.find(renew->lease);
+        if (it == leases_.end()) {
+            r.status = 404;
+        } else {
+            it->second.first = now_ + it->second.second;
+        }
+    }
+    return r;
+}
+
+void World::expire_leases() {
+    for (auto it = leases_.begin(); it != leases_.end();) {
+        if (state_down_) {
+            it->second.first = now_ + it->second.second; // full time again after an outage
+        }
+        if (now_ < it->second.first) {
+            ++it;
+            continue;
+        }
+        std::uint64_t lease = it->first;
+        it = leases_.erase(it);
+        ++revision_;
+        for (auto k = kv_.begin(); k != kv_.end();) {
+            if (k->second.lease == lease) {
+                changed(k->first, true);
+                k = kv_.erase(k);
+            } else {
+                ++k;
+            }
+        }
+    }
+}
+
+void World::fire_watches() {
+    if (state_down_) {
+        return;
+    }
+    std::vector<Watcher> left;
+    std::vector<std::pair<Watcher, CallReply>> fired;
+    for (const auto& w : watchers_) {
+        CallReply r;
+        r.call = w.call;
+        r.status = 200;
+        r.revision = revision_;
+        std::map<std::string, bool> touched;
+        for (const auto& c : changes_) {
+            if (c.revision > w.since && c.key.starts_with(w.prefix)) {
+                touched[c.key] = c.deleted;
+            }
+        }
+        for (const auto& [key, deleted] : touched) {
+            auto it = kv_.find(key);
+            if (deleted || it == kv_.end()) {
+                r.deleted.push_back(key);
+            } else {
+                r.items.push_back({key, it->second.record, it->second.version});
+            }
+        }
+        if (nodes_[w.node]->refused_by_state || (touched.empty() && now_ < w.until)) {
+            left.push_back(w);
+        } else {
+            fired.emplace_back(w, r);
+        }
+    }
+    watchers_ = std::move(left);
+    for (auto& [w, r] : fired) {
+        at(now_ + delay(), [this, w = w, r = r] { deliver(w.node, w.life, r); });
+    }
+}
+
+// ---- Cloud and workers ----
+
+void World::serve_cloud(int, const Call& c) {
+    if (const auto* rent = std::get_if<Rent>(&c.body)) {
+        if (orders_.contains(rent->order)) {
+            return;
+        }
+        auto& names = orders_[rent->order];
+        for (int k = 0; k < rent->count && workers_.size() < 12; ++k) {
+            char name[16];
+            std::snprintf(name, sizeof name, "i-%06d", next_machine_++);
+            auto w = std::make_unique<Worker>();
+            w->name = name;
+            w->zone = rent->zone;
+            w->spot = rent->spot;
+            w->rate = 1 + options_.drift * (next_machine_ % 2 ? 1 : -1);
+            w->node = next_machine_ % options_.nodes;
+            names.push_back(name);
+            std::string id = name;
+            workers_[id] = std::move(w);
+            at(now_ + options_.boot_s, [this, id] {
+                auto it = workers_.find(id);
+                if (it != workers_.end()) {
+                    it->second->up = true;
+                    it->second->renewed = now_;
+                    report(id, 1);
+                }
+            });
+        }
+    } else if (const auto* release = std::get_if<Release>(&c.body)) {
+        for (const auto& name : release->machines) {
+            workers_.erase(name);
+        }
+    }
+}
+
+Report World::report_of(Worker& w) {
+    Report r;
+    r.machine = w.name;
+    r.endpoint = w.name + ":1";
+    r.type = "m8";
+    r.zone = w.zone;
+    r.spot = w.spot;
+    r.session = w.session;
+    r.tick = ++w.tick;
+    r.token = w.token;
+    for (const auto& [task, t] : w.tasks) {
+        r.tasks.push_back({task, t.attempt, t.stage, t.why});
+    }
+    return r;
+}
+
+void World::execute(Worker& w, const std::vector<Command>& commands) {
+    for (const auto& c : commands) {
+        auto it = w.tasks.find(c.task);
+        if (c.op == Op::start) {
+            if (it != w.tasks.end()) {
+                if (it->second.attempt != c.attempt) {
+                    broken.push_back("busy start " + c.task.job);
+                }
+                continue;
+            }
+            w.tasks[c.task] = {c.attempt, TaskStage::fetching, ExitWhy::none, now_ + 0.5};
+        } else if (it != w.tasks.end() && it->second.attempt == c.attempt) {
+            if (c.op == Op::stop && it->second.stage != TaskStage::exited) {
+                it->second.stage = TaskStage::exited;
+                it->second.why = ExitWhy::stopped;
+            } else if (c.op == Op::clear && it->second.stage == TaskStage::exited) {
+                w.tasks.erase(it);
+            }
+        }
+    }
+}
+
+void World::worker_step(const std::string& name) {
+    Worker& w = *workers_.at(name);
+    if (!w.up || w.dead) {
+        return;
+    }
+    if ((now_ - w.renewed) * w.rate > kLease) {
+        w.tasks.clear();
+        ++w.session;
+        w.renewed = now_;
+        report(name, w.session);
+    }
+    bool change = false;
+    for (auto& [task, t] : w.tasks) {
+        if (t.stage == TaskStage::fetching && now_ >= t.next) {
+            t.stage = TaskStage::running;
+            ++starts_[task];
+            for (const auto& [other, o] : workers_) {
+                auto it = o->tasks.find(task);
+                if (other != name && it != o->tasks.end() && !o->dead &&
+                    it->second.stage != TaskStage::exited &&
+                    it->second.stage != TaskStage::fetching) {
+                    broken.push_back("ran_twice " + task.job + "/" + std::to_string(task.index) +
+                                     " on " + name + " and " + other);
+                }
+            }
+            t.next =
+                done_[task.job].contains(task.index)
+                    ? now_
+                    : now_ + options_.run_s * std::uniform_real_distribution<>(0.5, 1.5)(random_);
+        } else if (t.stage == TaskStage::running && now_ >= t.next) {
+            t.stage = TaskStage::exited;
+            t.why = chance(options_.error) ? ExitWhy::error : ExitWhy::done;
+            if (t.why == ExitWhy::done) {
+                done_[task.job].insert(task.index);
+            }
+            change = true;
+        }
+    }
+    if (change && w.flight == 0) {
+        report(name, w.session);
+    }
+}
+
+void World::report(const std::string& name, std::uint64_t session) {
+    auto it = workers_.find(name);
+    if (it == workers_.end() || it->second->session != session || it->second->dead ||
+        it->second->flight != 0) {
+        return;
+    }
+    Worker& w = *it->second;
+    Report body = report_of(w);
+    RequestId request = next_request_++ + (1ULL << 40);
+    std::uint64_t flight = ++sequence_;
+    w.flight = flight;
+    Time sent = now_;
+    auto next = [this, name](double after) {
+        at(now_ + after, [this, name] {
+            auto w2 = workers_.find(name);
+            if (w2 != workers_.end()) {
+                report(name, w2->second->session);
+            }
+        });
+    };
+    reports_[request] = [this, name, flight, sent, session, next](const Answer& a) {
+        auto w2 = workers_.find(name);
+        if (w2 == workers_.end() || w2->second->flight != flight || w2->second->cut ||
+            now_ > sent + 4) {
+            return;
+        }
+        Worker& v = *w2->second;
+        v.flight = 0;
+        if (v.session != session) {
+            next(0.01);
+            return;
+        }
+        if (a.status == 200) {
+            const auto& body2 = std::get<ReportAnswer>(a.body);
+            if (body2.token < v.token) {
+                next(kReport);
+                return;
+            }
+            bool higher = body2.token > v.token;
+            v.token = body2.token;
+            v.renewed = std::max(v.renewed, sent);
+            execute(v, body2.commands);
+            next(higher ? 0.5 : kReport * 0.9);
+            return;
+        }
+        if (a.status == 421) {
+            const auto& r = std::get<Redirect>(a.body);
+            if (!r.node.empty() && r.node != "n" + std::to_string(v.node)) {
+                v.node = std::atoi(r.node.c_str() + 1);
+                next(0.1);
+                return;
+            }
+        }
+        v.node = (v.node + 1) % options_.nodes;
+        next(1);
+    };
+    at(now_ + 4.001, [this, name, flight, next] {
+        auto w2 = workers_.find(name);
+        if (w2 != workers_.end() && w2->second->flight == flight) {
+            w2->second->flight = 0;
+            w2->second->node = (w2->second->node + 1) % options_.nodes;
+            next(1);
+        }
+    });
+    bool lost = chance(options_.drop);
+    bool late = chance(options_.late);
+    if (w.cut || nodes_[w.node]->cut_from_workers || (lost && chance(0.5))) {
+        return;
+    }
+    int node = w.node;
+    double way = late ? std::uniform_real_distribution<>(2, 40)(random_) : delay();
+    at(now_ + way, [this, node, request, body] { input(node, WorkerReport{request, body}); });
+}
+
+// ---- Faults and truth ----
+
+void World::state_refuses(int node, bool refuses) { nodes_[node]->refused_by_state = refuses; }
+void World::cut_workers(int node, bool cut) { nodes_[node]->cut_from_workers = cut; }
+void World::cut_machine(const std::string& machine, bool cut) { workers_.at(machine)->cut = cut; }
+void World::kill_machine(const std::string& machine) {
+    workers_.at(machine)->dead = true;
+    workers_.at(machine)->tasks.clear();
+}
+
+std::vector<std::string> World::machines_up() const {
+    std::vector<std::string> out;
+    for (const auto& [name, w] : workers_) {
+        if (w->up && !w->dead) {
+            out.push_back(name);
+        }
+    }
+    return out;
+}
+
+std::set<std::string> World::machines_of(const TaskRef& task) const {
+    std::set<std::string> out;
+    for (const auto& [name, w] : workers_) {
+        auto it = w->tasks.find(task);
+        if (it != w->tasks.end() && it->second.stage != TaskStage::exited) {
+            out.insert(name);
+        }
+    }
+    return out;
+}
+
+bool World::all_done(const std::string& job) const {
+    auto it = done_.find(job);
+    return it != done_.end() && it->second.size() == specs_.at(job).tasks;
+}
+
+int World::starts(const TaskRef& task) const {
+    auto it = starts_.find(task);
+    return it == starts_.end() ? 0 : it->second;
+}
+
+double World::used(const std::string& team) const {
+    double sum = 0;
+    for (const auto& [name, w] : workers_) {
+        for (const auto& [task, t] : w->tasks) {
+            auto spec = specs_.find(task.job);
+            if (spec != specs_.end() && spec->second.team == team &&
+                (t.stage == TaskStage::running || t.stage == TaskStage::saving)) {
+                sum += spec->second.cpus;
+            }
+        }
+    }
+    return sum;
+}
+
+int World::owner() const {
+    auto it = kv_.find("part/0");
+    if (it == kv_.end()) {
+        return -1;
+    }
+    return std::atoi(std::get<PartRecord>(it->second.record).node.c_str() + 1);
+}
+
+std::map<std::string, Outcome> World::outcomes() const {
+    std::map<std::string, Outcome> out;
+    for (const auto& [key, kv] : kv_) {
+        if (key.starts_with("job/")) {
+            if (const auto* job = std::get_if<JobRecord>(&kv.record)) {
+                out[key.substr(4)] = job->outcome;
+            }
+        }
+    }
+    return out;
+}
+
+std::size_t World::calls_of(const std::string& kind) const {
+    auto it = call_counts_.find(kind);
+    return it == call_counts_.end() ? 0 : it->second;
+}
+
+JobSpec World::job(const std::string& id, std::uint32_t tasks, double cpus) const {
+    JobSpec s;
+    s.id = id;
+    s.job_class = "scan";
+    s.team = "red";
+    s.tasks = tasks;
+    s.cpus = cpus;
+    s.ram_gb = cpus;
+    s.image = "img";
+    s.image_gb = 1;
+    s.spot = true;
+    s.estimate_s = options_.run_s;
+    return s;
+}
+
+RequestId World::submit(int node, JobSpec spec) {
+    RequestId id = next_request_++;
+    asked_[id] = {"submit", spec.id, now_};
+    specs_[spec.id] = spec;
+    input(node, Submit{id, spec});
+    return id;
+}
+
+RequestId World::poll(int node, const std::string& job) {
+    RequestId id = next_request_++;
+    asked_[id] = {"poll", job, now_};
+    input(node, Poll{id, job});
+    return id;
+}
+
+RequestId World::cancel(int node, const std::string& job) {
+    RequestId id = next_request_++;
+    asked_[id] = {"cancel", job, now_};
+    input(node, Cancel{id, job});
+    return id;
+}
+
+} // namespace orchidlanding::test
--- /dev/null
+++ b/tests/world.h
@@ -0,0 +1,149 @@
+// A model of everything outside the core: state service, cloud, workers, network and a fake
+// clock, with faults on demand. It checks the rules at every step.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+
+#include "core/controller.h"
+
+namespace orchidlanding::test {
+
+struct WorldOptions {
+    std::uint64_t seed = 1;
+    int nodes = 3;
+    double drop = 0;  // share of messages that are lost
+    double late = 0;  // share of messages that come very late
+    double run_s = 8; // a task's usual run time
+    double boot_s = 10;
+    double error = 0;      // share of tasks that fail
+    double drift = 0.0005; // steady clocks differ by up to this
+};
+
+class World {
+  public:
+    explicit World(WorldOptions options);
+    ~World();
+
+    Time now() const { return now_; }
+    void run_until(Time end);
+    void run_for(double seconds) { run_until(now_ + seconds); }
+    void at(Time when, std::function<void()> work);
+
+    // Users. The answers come back in `answers`, by request.
+    RequestId submit(int node, JobSpec spec);
+    RequestId poll(int node, const std::string& job);
+    RequestId cancel(int node, const std::string& job);
+    std::map<RequestId, Answer> answers;
+    JobSpec job(const std::string& id, std::uint32_t tasks, double cpus = 2) const;
+
+    // Faults.
+    void crash(int node, double restart_s);
+    void state_down(bool down) { state_down_ = down; }
+    void state_refuses(int node, bool refuses);
+    void cut_workers(int node, bool cut);
+    void cut_machine(const std::string& machine, bool cut);
+    void kill_machine(const std::string& machine);
+    void cloud_down(bool down) { cloud_down_ = down; }
+
+    // What is true.
+    std::vector<std::string> machines_up() const;
+    std::set<std::string> machines_of(const TaskRef& task) const;
+    bool all_done(const std::string& job) const;
+    int starts(const TaskRef& task) const;
+    double used(const std::string& team) const;
+    int owner() const;               // the node that a worker would be served by, -1: none
+    std::vector<std::string> broken; // rules broken, in words
+    std::map<std::string, Outcome> outcomes() const;
+    std::size_t calls_of(const std::string& kind) const;
+    // Calls the test wants to see or hold back: return true to swallow the message.
+    std::function<bool(int node, const CallBody&)> intercept;
+    // Puts a raw record into the state service.
+    void put(const std::string& key, Record record);
+    const Facts& facts(int node) const;
+
+  private:
+    struct Node;
+    struct Worker;
+    struct Kv {
+        Record record;
+        std::uint64_t version = 0;
+        std::uint64_t lease = 0;
+    };
+    struct Change {
+        std::uint64_t revision = 0;
+        std::string key;
+        bool deleted = false;
+    };
+    struct Watcher {
+        int node;
+        int life;
+        CallId call;
+        std::string prefix;
+        std::uint64_t since;
+        Time until;
+    };
+
+    void input(int node, Input in);
+    void deliver(int node, int life, CallReply reply);
+    void carry_out(int node, Outputs out);
+    void call(int node, const Call& call);
+    CallReply serve_state(int node, const Call& call);
+    void serve_cloud(int node, const Call& call);
+    void serve_worker(int node, const Call& call);
+    CallReply transact(const Txn& txn);
+    void changed(const std::string& key, bool deleted);
+    void expire_leases();
+    void fire_watches();
+    void report(const std::string& machine, std::uint64_t session);
+    Report report_of(Worker& w);
+    void execute(Worker& w, const std::vector<Command>& commands);
+    void worker_step(const std::string& machine);
+    void start_node(int node);
+    double delay();
+    bool chance(double p) { return std::uniform_real_distribution<>(0, 1)(random_) < p; }
+    void note_answer(const Answer& answer);
+
+    WorldOptions options_;
+    std::mt19937_64 random_;
+    Time now_ = 0;
+    std::uint64_t sequence_ = 0;
+    struct Event {
+        Time time;
+        std::uint64_t sequence;
+        std::function<void()> work;
+        bool operator<(const Event& other) const {
+            return std::tie(time, sequence) > std::tie(other.time, other.sequence);
+        }
+    };
+    std::priority_queue<Event> events_;
+    std::vector<std::unique_ptr<Node>> nodes_;
+    std::map<std::string, std::unique_ptr<Worker>> workers_;
+    std::map<std::string, Kv> kv_;
+    std::uint64_t revision_ = 1;
+    std::vector<Change> changes_;
+    std::map<std::uint64_t, std::pair<Time, double>> leases_; // end, ttl
+    std::uint64_t next_lease_ = 1;
+    std::vector<Watcher> watchers_;
+    bool state_down_ = false;
+    bool cloud_down_ = false;
+    std::map<std::string, std::vector<std::string>> orders_;
+    int next_machine_ = 0;
+    RequestId next_request_ = 1;
+    std::map<RequestId, std::tuple<std::string, std::string, Time>> asked_; // what, job, when
+    std::map<std::string, Time> accepted_; // when a user was first told
+    std::map<std::string, Time> told_when_;
+    std::map<RequestId, std::function<void(const Answer&)>> reports_;
+    std::map<std::string, JobSpec> specs_;
+    std::map<std::string, Time> told_cancelled_;
+    std::map<std::string, std::string> told_final_;
+    std::map<std::string, std::set<std::uint32_t>> done_;
+    std::map<TaskRef, int> starts_;
+    std::map<std::string, std::size_t> call_counts_;
+};
+
+} // namespace orchidlanding::test
