Place on the reporting machine, choose by image, trim by share

Change: a report fills the slots of its own machine from an order kept for a quarter of a second; within a rank a job whose image is there goes before one due up to one fetch time earlier; calls to peers name up to 24 jobs and a total; a part trims its share of the surplus, half of it a step. Ruled out: processor (0.17 of the share, peak 0.6) and memory (8 of 104 MB) are not short.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -120,13 +120,15 @@
     follow(recent_.ordinary_cpus, totals.demand.ordinary_cpus);
     follow(recent_.any_cpus, totals.demand.any_cpus);
     std::vector<std::string> changes;
+    bool step = now >= next_trim_;
     for (bool spot : {false, true}) {
         double have = spot ? totals.spot_cpus : totals.ordinary_cpus;
         double want =
             spot ? recent_.any_cpus
                  : recent_.ordinary_cpus + std::max(0.0, recent_.any_cpus - totals.spot_cpus);
         want = want < 1 ? 0 : want * (1 + policy_.spare_share); // a fading peak is never quite 0
-        const Machine* least = nullptr;
+        std::vector<std::pair<double, const Machine*>> usables; // by what is free on them
+        double own = 0;
         for (const auto& [name, m] : machines.all()) {
             if (m.spot != spot || !m.reported) {
                 continue;
@@ -134,13 +136,27 @@
             if (m.trimming && have < want) {
                 have += m.type.cpus;
                 changes.push_back(name);
+            } else if (usable(m)) {
+                own += m.type.cpus;
+                usables.emplace_back(-m.free_cpus(), &m);
             }
-            if (usable(m) && (!least || m.free_cpus() > least->free_cpus())) {
-                least = &m;
-            }
         }
-        if (least && now >= next_trim_ && have - least->type.cpus >= want) {
-            changes.push_back(least->name);
+        if (!step || usables.empty()) {
+            continue;
+        }
+        // This part's share of what all parts have too much, half of it a step: a fleet many
+        // times as large shrinks in the same time. The emptiest machines go first.
+        std::sort(usables.begin(), usables.end());
+        double room = 0.5 * (have - want) * own / std::max(own, have);
+        bool first = true;
+        for (const auto& [free, m] : usables) {
+            if (have - m->type.cpus < want || (!first && room < m->type.cpus)) {
+                break;
+            }
+            first = false;
+            have -= m->type.cpus;
+            room -= m->type.cpus;
+            changes.push_back(m->name);
             next_trim_ = now + facts_.report_s / 2;
         }
     }
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -29,7 +29,7 @@
     // Machines to give back: idle for long, never up, lost, or at fault.
     std::vector<std::string> surplus(Time now, const MachineTable& machines, const Totals& totals,
                                      bool may_suspect) const;
-    // Chooses machines that take no more tasks because there are more than are wanted, one at a
+    // Chooses machines that take no more tasks because there are more than are wanted, some at a
     // time, and takes the choice back when there are too few.
     std::vector<std::string> trim(Time now, const MachineTable& machines, const Totals& totals);
     // A machine that can be counted on.
--- a/src/core/io.h
+++ b/src/core/io.h
@@ -72,6 +72,7 @@
     std::uint64_t term = 0;
     int to = 0;
     std::vector<Want> wants;
+    std::uint32_t most = 0; // slots taken in all
     std::vector<Told> told;
     std::vector<std::uint64_t> returned; // slots handed over that no start was sent for
     Demand demand;
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -132,6 +132,7 @@
         }
         if (record->outcome == Outcome::none) {
             jobs_.add(now, *record->spec, item.version);
+            order_stale_ = true;
         } else if (record->outcome == Outcome::cancelled) {
             // Its tasks may still be on machines and count for their team until they are gone.
             if (!loaded_ && record->spec) {
@@ -299,7 +300,7 @@
     }
     apply(now, *m, report, 0);
     settle(now);
-    place(now);
+    place_on(now, *m);
     ReportAnswer answer{make_token(term_, m->sequence), {}};
     if (current) {
         upkeep(now, *m, answer.commands);
@@ -559,14 +560,18 @@
     if (!found) {
         return false;
     }
-    Machine& m = *machines_.find(*found);
+    start_on(now, *machines_.find(*found), job, index);
+    return true;
+}
+
+void PartOwner::start_on(Time now, Machine& m, Job& job, std::uint32_t index) {
+    const JobSpec& s = job.spec;
     Placement p = shape_of(s);
     p.attempt = make_attempt(term_, next_attempt_++, part_);
-    machines_.queue_start(now, m, task, std::move(p));
+    machines_.queue_start(now, m, {s.id, index}, std::move(p));
     jobs_.place(job, index, m.zone);
     teams_.use(s.team, s.cpus, s.gpus);
     relist(m);
-    return true;
 }
 
 Time PartOwner::due(Time now, const Job& job) const {
@@ -602,16 +607,20 @@
            job.spec.kind != JobKind::gang;
 }
 
-void PartOwner::place(Time now) {
-    if (!accounted_ || !usable_now(now)) {
+// What waits, in the order in which idle slots go to it. It is kept for a moment: the order
+// hardly changes from one report to the next.
+void PartOwner::refresh_order(Time now) {
+    if (!order_stale_ && now < order_until_) {
         return;
     }
-    std::vector<Candidate> waiting;
+    order_stale_ = false;
+    order_until_ = now + policy_.exchange_s;
+    order_.clear();
     for (const auto& [id, job] : jobs_.all()) {
         const JobSpec& s = job->spec;
         if (waits(now, *job)) {
-            waiting.push_back({s.priority, !teams_.within_guarantee(s.team, s.cpus, s.gpus),
-                               due(now, *job), job->known_since, job.get(), nullptr, part_});
+            order_.push_back({s.priority, !teams_.within_guarantee(s.team, s.cpus, s.gpus),
+                              due(now, *job), job->known_since, job.get(), nullptr, part_});
         }
     }
     for (auto& [part, peer] : peers_) {
@@ -620,27 +629,35 @@
         }
         for (auto& want : peer.wants) {
             if (want.count > 0) {
-                waiting.push_back({want.priority, want.borrows, peer.wants_at + want.due_s,
-                                   peer.wants_at - want.age_s, nullptr, &want, part});
+                order_.push_back({want.priority, want.borrows, peer.wants_at + want.due_s,
+                                  peer.wants_at - want.age_s, nullptr, &want, part});
             }
         }
     }
-    std::sort(waiting.begin(), waiting.end(), [](const Candidate& a, const Candidate& b) {
+    std::sort(order_.begin(), order_.end(), [](const Candidate& a, const Candidate& b) {
         return std::tie(a.priority, a.borrows, a.due, a.since) <
                std::tie(b.priority, b.borrows, b.due, b.since);
     });
+}
+
+void PartOwner::place(Time now) {
+    if (!accounted_ || !usable_now(now) || slots_.empty()) {
+        return;
+    }
+    order_stale_ = true;
+    refresh_order(now);
     // Each job on its own kind of machine first. What is left of the ordinary ones then serves
     // the jobs that may use spot machines as well: were they let in by rank, jobs that have
     // nowhere else to go would stand behind them.
-    fill(now, true, true, waiting);
-    fill(now, false, false, waiting);
-    fill(now, false, true, waiting);
+    fill(now, true, true);
+    fill(now, false, false);
+    fill(now, false, true);
 }
 
-void PartOwner::fill(Time now, bool spot, bool spot_jobs, const std::vector<Candidate>& waiting) {
+void PartOwner::fill(Time now, bool spot, bool spot_jobs) {
     using Shape = std::tuple<double, double, double>;
     std::set<Shape> full;
-    for (const Candidate& c : waiting) {
+    for (const Candidate& c : order_) {
         if ((c.want ? c.want->spot : c.job->spec.spot) != spot_jobs) {
             continue;
         }
@@ -668,6 +685,69 @@
     }
 }
 
+// Can the slots of this machine serve the candidate now?
+bool PartOwner::suits(Time now, const Machine& m, const Candidate& c) const {
+    if (c.want) {
+        const Want& w = *c.want;
+        return w.count > 0 && peers_.at(c.thief).left > 0 && w.cpus <= m.free_cpus() &&
+               w.ram_gb <= m.free_ram() && w.gpus <= m.free_gpus() &&
+               (!w.types ||
+                std::find(w.types->begin(), w.types->end(), m.type.name) != w.types->end()) &&
+               (!w.zone || *w.zone == m.zone);
+    }
+    const JobSpec& s = c.job->spec;
+    return waits(now, *c.job) && s.cpus <= m.free_cpus() && s.ram_gb <= m.free_ram() &&
+           s.gpus <= m.free_gpus() && teams_.fits(s.team, s.cpus, s.gpus) &&
+           s.allows_type(m.type.name) && zone_allowed(*c.job, m.zone) &&
+           !m.holds_exited({s.id, *c.job->waiting.begin()});
+}
+
+// The idle slots of one machine, as its report gives them. Of the candidates of the same rank, one
+// whose image the machine has goes before one due a little earlier whose image it would have to
+// fetch: while it is fetched, the slots stand idle.
+void PartOwner::place_on(Time now, Machine& m) {
+    if (!accounted_ || !usable_now(now) || !may_place(m) || m.orders != 0) {
+        return;
+    }
+    refresh_order(now);
+    auto best_of = [&](bool spot_jobs) {
+        const Candidate* best = nullptr;
+        Time best_due = 0;
+        for (const Candidate& c : order_) {
+            if (best &&
+                (std::tie(c.priority, c.borrows) != std::tie(best->priority, best->borrows) ||
+                 c.due >= best_due)) {
+                break; // no warm image makes up for that
+            }
+            if ((c.want ? c.want->spot : c.job->spec.spot) != spot_jobs || !suits(now, m, c)) {
+                continue;
+            }
+            const std::string& image = c.want ? c.want->image : c.job->spec.image;
+            double gb = c.want ? c.want->image_gb : c.job->spec.image_gb;
+            double fetch_s = m.warm(image) ? 0 : gb / std::max(1e-3, m.type.fetch_gb_per_s);
+            Time at = c.due + policy_.warm_patience * fetch_s;
+            if (!best || at < best_due) {
+                best = &c;
+                best_due = at;
+            }
+        }
+        return best;
+    };
+    // Ordinary machines serve first what may use nothing else.
+    for (bool spot_jobs : {false, true}) {
+        if (m.spot && !spot_jobs) {
+            continue;
+        }
+        while (const Candidate* c = best_of(spot_jobs)) {
+            if (c->want) {
+                lend(now, m, c->thief, *c->want);
+            } else {
+                start_on(now, m, *c->job, *c->job->waiting.begin());
+            }
+        }
+    }
+}
+
 void PartOwner::send_orders(Time now) {
     if (!usable_now(now)) {
         return;
@@ -694,7 +774,7 @@
                                 relist(*machine);
                                 calls_.log(Level::info, "event=orders_unanswered machine=" + name);
                             }
-                            place(at);
+                            place_on(at, *machine);
                             send_orders(at);
                         });
         machines_.sent_directly(m, commands, call);
@@ -829,7 +909,7 @@
                                           if (wrote(reply, "outcome")) {
                                               calls_.log(Level::info, "event=job_done job=" + id);
                                               jobs_.final(id, Outcome::done);
-                                              jobs_.drop(id);
+                                              drop_job(id);
                                           } else if (reply.status == 409 && !deposed_) {
                                               reread_job(at, id);
                                           }
@@ -848,7 +928,7 @@
                               cancelled(at, id);
                           } else if (record && record->outcome == Outcome::done) {
                               jobs_.final(id, Outcome::done);
-                              jobs_.drop(id);
+                              drop_job(id);
                           }
                       });
 }
@@ -878,11 +958,18 @@
     forget_if_over(id);
 }
 
+// The order may point to the job.
+void PartOwner::drop_job(const std::string& id) {
+    order_.clear();
+    order_stale_ = true;
+    jobs_.drop(id);
+}
+
 void PartOwner::forget_if_over(const std::string& id) {
     Job* job = jobs_.find(id);
     if (job && settled_ && job->outcome == Outcome::cancelled && job->placed == 0) {
         jobs_.final(id, Outcome::cancelled);
-        jobs_.drop(id);
+        drop_job(id);
     }
 }
 
@@ -1107,6 +1194,46 @@
     }
 }
 
+// Where this part's slots are, and what waits: one line now and then.
+void PartOwner::log_stats() {
+    double total = 0;
+    double running = 0;
+    double fetching = 0;
+    double sent = 0;
+    double idle = 0;
+    double closed = 0; // on machines that take nothing
+    int up = 0;
+    for (const auto& [name, m] : machines_.all()) {
+        if (!m.reported) {
+            continue;
+        }
+        ++up;
+        total += m.type.cpus;
+        for (const auto& [task, p] : m.tasks) {
+            bool listed = p.via == Placement::Via::listed;
+            (!listed ? sent : p.stage == TaskStage::fetching ? fetching : running) += p.cpus;
+        }
+        for (const auto& [attempt, lot] : m.lots) {
+            sent += lot.shape.cpus;
+        }
+        (may_place(m) ? idle : closed) += m.free_cpus();
+    }
+    std::size_t waiting = 0;
+    for (const auto& [id, job] : jobs_.all()) {
+        waiting += job->open() ? job->waiting.size() : 0;
+    }
+    if (up == 0 && jobs_.all().empty()) {
+        return;
+    }
+    auto count = [](double d) { return std::to_string(std::llround(d)); };
+    calls_.log(Level::info, "event=part_stats part=" + std::to_string(part_) +
+                                " machines=" + std::to_string(up) + " cpus=" + count(total) +
+                                " running=" + count(running) + " fetching=" + count(fetching) +
+                                " sent=" + count(sent) + " idle=" + count(idle) + " closed=" +
+                                count(closed) + " jobs=" + std::to_string(jobs_.all().size()) +
+                                " waiting=" + std::to_string(waiting));
+}
+
 // ---- Time ----
 
 void PartOwner::tick(Time now) {
@@ -1135,6 +1262,10 @@
     if (now >= next_list_ && !listing_) {
         list_hosts(now, "");
     }
+    if (now >= next_stats_) {
+        next_stats_ = now + 2 * facts_.report_s;
+        log_stats();
+    }
     if (now >= next_fleet_) {
         next_fleet_ = now + facts_.report_s / 3;
         run_fleet(now);
--- a/src/core/part_owner.h
+++ b/src/core/part_owner.h
@@ -55,18 +55,22 @@
         bool borrows;
         Time due;
         Time since;
-        Job* job;
-        Want* want;
+        Job* job;   // ours ...
+        Want* want; // ... or a peer's
         int thief;
     };
     // When the job is next expected to have come to something, by the aims of its class.
     Time due(Time now, const Job& job) const;
-    void fill(Time now, bool spot, bool spot_jobs, const std::vector<Candidate>& waiting);
+    void refresh_order(Time now);
+    void fill(Time now, bool spot, bool spot_jobs);
+    bool suits(Time now, const Machine& machine, const Candidate& candidate) const;
+    void place_on(Time now, Machine& machine);
     // Has the job tasks to be placed now?
     bool waits(Time now, const Job& job) const;
     // May the worker forget this exited task of ours?
     bool end_is_durable(const ListedTask& task);
     bool place_one(Time now, bool spot, Job& job, std::uint32_t task);
+    void start_on(Time now, Machine& machine, Job& job, std::uint32_t task);
     bool zone_allowed(const Job& job, const std::string& zone) const;
     void send_orders(Time now);
     void upkeep(Time now, Machine& machine, std::vector<Command>& out);
@@ -93,6 +97,7 @@
         std::uint64_t job_term = 0;
         std::vector<Want> wants;
         Time wants_at = 0;
+        std::uint32_t left = 0; // slots that it takes at most before it calls again
         std::vector<Grant> grants;
         Demand demand;
         FleetView fleet;
@@ -105,6 +110,7 @@
     void use_grant(Time now, int part, Peer& peer, const Grant& grant);
     void remote_gone(Time now, const TaskRef& task, ExitWhy why);
     void hand_over(Time now, bool spot, int thief, Want& want);
+    void lend(Time now, Machine& machine, int thief, Want& want);
     void take_told(Machine& machine, const Told& told);
     void adopt_guests(Time now, Machine& machine);
     void fence_lots(Time now);
@@ -114,6 +120,7 @@
     Placement shape_of(const JobSpec& spec) const;
     FleetView fleet_view() const;
     Totals totals(Time now) const;
+    void log_stats();
     bool account(Time now, const TaskRef& task, ExitWhy why, const std::string& machine);
 
     // Durable writes.
@@ -125,6 +132,7 @@
     void reread_job(Time now, const std::string& id);
     void cancelled(Time now, const std::string& id);
     void forget_if_over(const std::string& id);
+    void drop_job(const std::string& id);
 
     // The cloud.
     void run_fleet(Time now);
@@ -154,6 +162,9 @@
     std::set<std::uint64_t> stop_guests_;  // attempts that their job's owner wants stopped
     std::set<std::uint64_t> clear_guests_; // ... whose end is durable there
     std::map<std::string, std::pair<Rent, Time>> bought_; // for all parts, not up yet
+    std::vector<Candidate> order_; // what waits, first come first; see refresh_order
+    bool order_stale_ = true;
+    Time order_until_ = 0;
     std::uint64_t next_attempt_ = 1;
     std::uint64_t watch_from_ = 0;
     std::optional<Range> load_again_;
@@ -167,6 +178,7 @@
     std::set<std::string> unaccounted_; // roster machines that may carry tasks we do not know
     Time next_list_ = 0;
     Time next_fleet_ = 0;
+    Time next_stats_ = 0;
     Time next_release_ = 0;
     Time next_save_ = 0;
     Time next_watch_ = 0;
--- a/src/core/slot_lists.h
+++ b/src/core/slot_lists.h
@@ -23,6 +23,7 @@
     // Lists the machine under `slots` idle slots; 0 or less takes it off.
     void set(const SlotKind& kind, const std::string& machine, int slots);
     void remove(const std::string& machine);
+    bool empty() const { return where_.empty(); }
     // The first machine, fewest idle slots first, that has `slots` and that `ok` accepts.
     template <class Ok> const std::string* pop(const SlotKind& kind, int slots, Ok&& ok) const {
         auto it = lists_.find(kind);
--- a/src/core/stealing.cpp
+++ b/src/core/stealing.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 constexpr double kMostBatch = 64;
+constexpr std::size_t kMostWants = 24; // jobs named in a call
 // A slot handed over shows its start within a report or so; after that the owner fences it.
 constexpr double kLotReports = 1.5;
 
@@ -52,24 +53,24 @@
         return std::tuple(a->spec.priority, due(now, *a), a->known_since) <
                std::tuple(b->spec.priority, due(now, *b), b->known_since);
     });
-    double left = peer.batch;
+    // Many jobs, so that the peer can choose by image; it gives no more than the batch in all.
     Teams room = teams_; // so that slots are not asked for beyond a team's limit
     for (const Job* job : waiting) {
         const JobSpec& s = job->spec;
         Want w{s.id,    0,      s.cpus, s.gpus,     s.ram_gb, s.image, s.image_gb,
                s.types, s.zone, s.spot, s.priority, false,    0,       0};
-        w.borrows = !room.within_guarantee(s.team, s.cpus, s.gpus);
+        w.borrows = !teams_.within_guarantee(s.team, s.cpus, s.gpus);
         w.age_s = now - job->known_since;
         w.due_s = std::max(0.0, due(now, *job) - now);
-        while (left >= 1 && w.count < job->waiting.size() && room.fits(s.team, s.cpus, s.gpus)) {
+        while (w.count < peer.batch && w.count < job->waiting.size() &&
+               room.fits(s.team, s.cpus, s.gpus)) {
             room.use(s.team, s.cpus, s.gpus);
             ++w.count;
-            left -= 1;
         }
         if (w.count > 0) {
             wants.push_back(std::move(w));
         }
-        if (left < 1) {
+        if (wants.size() == kMostWants) {
             break;
         }
     }
@@ -92,6 +93,8 @@
     for (const auto& w : out.wants) {
         asked += w.count;
     }
+    asked = std::min(asked, static_cast<std::uint32_t>(peer.batch));
+    out.most = asked;
     bool guests = std::any_of(remote_.begin(), remote_.end(),
                               [&](const auto& r) { return r.second.part == part; });
     bool busy = asked > 0 || guests || !peer.inventoried;
@@ -270,8 +273,11 @@
             take_told(m, told);
         }
     }
+    order_.clear(); // it points into the wants of before
+    order_stale_ = true;
     peer.wants = in.wants;
     peer.wants_at = now;
+    peer.left = in.most;
     peer.demand = in.demand;
     peer.fleet = in.fleet;
     fence_lots(now);
@@ -348,32 +354,36 @@
 void PartOwner::hand_over(Time now, bool spot, int thief, Want& want) {
     Peer& peer = peers_.at(thief);
     JobSpec shape = shape_wanted(want);
-    while (want.count > 0) {
+    while (want.count > 0 && peer.left > 0) {
         const std::string* found = find_slots(spot, shape, nullptr, nullptr);
         if (!found) {
             return;
         }
-        Machine& m = *machines_.find(*found);
-        Lot lot;
-        lot.thief = thief;
-        lot.thief_term = peer.job_term;
-        lot.token = make_token(term_, m.sequence);
-        lot.since = now;
-        lot.shape = shape_of(shape);
-        lot.shape.attempt = make_attempt(term_, next_attempt_++, thief);
-        lot.shape.via = Placement::Via::orders;
-        lot.shape.token = lot.token;
-        lot.shape.since = now;
-        m.touch_image(want.image, want.image_gb);
-        peer.grants.push_back({lot.shape.attempt, want.job, m.name, m.endpoint, m.session,
-                               lot.token, m.type.name, m.zone, m.spot, want.cpus, want.gpus,
-                               want.ram_gb});
-        m.lots.emplace(lot.shape.attempt, std::move(lot));
-        relist(m);
-        --want.count;
+        lend(now, *machines_.find(*found), thief, want);
     }
 }
 
+void PartOwner::lend(Time now, Machine& m, int thief, Want& want) {
+    Peer& peer = peers_.at(thief);
+    Lot lot;
+    lot.thief = thief;
+    lot.thief_term = peer.job_term;
+    lot.token = make_token(term_, m.sequence);
+    lot.since = now;
+    lot.shape = shape_of(shape_wanted(want));
+    lot.shape.attempt = make_attempt(term_, next_attempt_++, thief);
+    lot.shape.via = Placement::Via::orders;
+    lot.shape.token = lot.token;
+    lot.shape.since = now;
+    m.touch_image(want.image, want.image_gb);
+    peer.grants.push_back({lot.shape.attempt, want.job, m.name, m.endpoint, m.session, lot.token,
+                           m.type.name, m.zone, m.spot, want.cpus, want.gpus, want.ram_gb});
+    m.lots.emplace(lot.shape.attempt, std::move(lot));
+    relist(m);
+    --want.count;
+    --peer.left;
+}
+
 // A slot whose start does not show, or that an owner before the present one got: a higher token
 // makes sure that the start never comes, and the next report under it frees the slot.
 void PartOwner::fence_lots(Time now) {
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -192,6 +192,7 @@
     double sick_errors = 0;
     double steal_batch = 0;
     double exchange_s = 0;
+    double warm_patience = 0;
 };
 
 } // namespace orchidlanding
--- a/src/policy/defaults.h
+++ b/src/policy/defaults.h
@@ -17,6 +17,7 @@
     p.sick_errors = 3;                     // failed tasks in a row
     p.steal_batch = 4;                     // slots asked for at first
     p.exchange_s = facts.report_s / 12;    // between calls to a peer while tasks wait or run there
+    p.warm_patience = 1; // fetch times that a job with the image there may be due later
     return p;
 }
 
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -483,8 +483,9 @@
 }
 
 void pack_exchange(Packer& p, const Exchange& e) {
-    p.pack_map(10);
+    p.pack_map(11);
     field(p, "from", e.from);
+    field(p, "most", e.most);
     field(p, "term", e.term);
     field(p, "to", e.to);
     key(p, "wants");
@@ -560,6 +561,7 @@
                           t.amount("cpus"), t.amount("gpus"), t.amount("ram_gb"), t.text("image"),
                           t.amount("image_gb")});
     }
+    e.most = static_cast<std::uint32_t>(f.integer("most"));
     e.returned = counts_of(f, "returned");
     e.demand = {f.amount("ordinary_cpus"), f.amount("any_cpus")};
     e.fleet = {names_of(f, "ordinary"), names_of(f, "spot")};
