Hold the fleet while a part is not heard; the team whose work takes longest goes first

Change: no trimming and no idle return while a part was not heard for a report time; within a rank, teams whose work takes longer at their limit than all work takes on all machines go first.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -120,7 +120,8 @@
     follow(recent_.ordinary_cpus, totals.demand.ordinary_cpus);
     follow(recent_.any_cpus, totals.demand.any_cpus);
     std::vector<std::string> changes;
-    bool step = now >= next_trim_;
+    // While another part is not heard, what it wants may be more than it wanted then.
+    bool step = now >= next_trim_ && totals.heard;
     for (bool spot : {false, true}) {
         double have = spot ? totals.spot_cpus : totals.ordinary_cpus;
         double want =
@@ -207,7 +208,7 @@
             out.push_back(name);
             continue;
         }
-        if (now - m.idle_since > policy_.idle_return_s * m.type.boot_s) {
+        if (totals.heard && now - m.idle_since > policy_.idle_return_s * m.type.boot_s) {
             double& have = m.spot ? spot : ordinary;
             double want = m.spot ? recent_.any_cpus : recent_.ordinary_cpus;
             if (have - m.type.cpus >= want - 1) {
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -14,6 +14,7 @@
     Demand demand;
     double ordinary_cpus = 0;
     double spot_cpus = 0;
+    bool heard = false; // every other part has said lately what it has and wants
 };
 
 class Fleet {
--- a/src/core/io.h
+++ b/src/core/io.h
@@ -45,6 +45,7 @@
     bool spot = false;
     Priority priority = Priority::normal;
     bool borrows = false;
+    bool longest = false; // its team's work takes longest
     double age_s = 0;
     double due_s = 0; // until the job's next aim
 };
@@ -62,6 +63,7 @@
 struct Demand {
     double ordinary_cpus = 0; // for jobs that may not use spot machines
     double any_cpus = 0;      // for jobs that may
+    double left_cpu_s = 0;    // run time left of all of it, by the estimates
 };
 struct FleetView { // the usable machines of a part
     std::vector<std::string> ordinary;
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -27,6 +27,12 @@
     return static_cast<std::uint32_t>(std::max(64.0, facts.value_kb * 1024 * 0.75 * 4));
 }
 
+// Tasks that run are half done on the whole.
+double left_cpu_s(const Job& job) {
+    double tasks = static_cast<double>(job.waiting.size()) + 0.5 * job.placed;
+    return job.spec.kind == JobKind::array ? tasks * job.spec.estimate_s * job.spec.cpus : 0;
+}
+
 std::string progress_key(const std::string& job, std::uint32_t chunk) {
     return kProgress + job + "/" + std::to_string(chunk);
 }
@@ -620,7 +626,8 @@
         const JobSpec& s = job->spec;
         if (waits(now, *job)) {
             order_.push_back({s.priority, !teams_.within_guarantee(s.team, s.cpus, s.gpus),
-                              due(now, *job), job->known_since, job.get(), nullptr, part_});
+                              longest_.contains(s.team), due(now, *job), job->known_since,
+                              job.get(), nullptr, part_});
         }
     }
     for (auto& [part, peer] : peers_) {
@@ -629,17 +636,38 @@
         }
         for (auto& want : peer.wants) {
             if (want.count > 0) {
-                order_.push_back({want.priority, want.borrows, peer.wants_at + want.due_s,
-                                  peer.wants_at - want.age_s, nullptr, &want, part});
+                order_.push_back({want.priority, want.borrows, want.longest,
+                                  peer.wants_at + want.due_s, peer.wants_at - want.age_s, nullptr,
+                                  &want, part});
             }
         }
     }
     std::sort(order_.begin(), order_.end(), [](const Candidate& a, const Candidate& b) {
-        return std::tie(a.priority, a.borrows, a.due, a.since) <
-               std::tie(b.priority, b.borrows, b.due, b.since);
+        return std::tie(a.priority, a.borrows, b.longest, a.due, a.since) <
+               std::tie(b.priority, b.borrows, a.longest, b.due, b.since);
     });
 }
 
+// A team whose work takes longer at the team's limit than all work takes on all machines decides
+// when everything is over: each moment that it runs below its limit is added to the end.
+void PartOwner::find_longest(Time now) {
+    std::map<std::string, double> left;
+    for (const auto& [id, job] : jobs_.all()) {
+        if (job->open()) {
+            left[job->spec.team] += left_cpu_s(*job);
+        }
+    }
+    Totals all = totals(now);
+    double together = all.demand.left_cpu_s / std::max(1.0, all.ordinary_cpus + all.spot_cpus);
+    longest_.clear();
+    for (const auto& [team, cpu_s] : left) {
+        const TeamFacts* f = teams_.facts(team);
+        if (f && cpu_s > std::max(together, facts_.report_s) * f->cpus_max) {
+            longest_.insert(team);
+        }
+    }
+}
+
 void PartOwner::place(Time now) {
     if (!accounted_ || !usable_now(now) || slots_.empty()) {
         return;
@@ -714,9 +742,9 @@
         const Candidate* best = nullptr;
         Time best_due = 0;
         for (const Candidate& c : order_) {
-            if (best &&
-                (std::tie(c.priority, c.borrows) != std::tie(best->priority, best->borrows) ||
-                 c.due >= best_due)) {
+            if (best && (std::tie(c.priority, c.borrows, c.longest) !=
+                             std::tie(best->priority, best->borrows, best->longest) ||
+                         c.due >= best_due)) {
                 break; // no warm image makes up for that
             }
             if ((c.want ? c.want->spot : c.job->spec.spot) != spot_jobs || !suits(now, m, c)) {
@@ -983,6 +1011,7 @@
         double any = 0;
     };
     std::map<std::string, Need> needs;
+    double left = 0;
     for (const auto& [id, job] : jobs_.all()) {
         const JobSpec& s = job->spec;
         if (!job->open() || types_.empty()) {
@@ -997,8 +1026,10 @@
         // A task longer than the horizon needs a place of its own.
         double want = (job->placed + std::ceil(waiting * pace)) * cpus;
         (s.spot ? needs[s.team].any : needs[s.team].ordinary) += want;
+        left += left_cpu_s(*job);
     }
     Demand d;
+    d.left_cpu_s = left;
     for (auto& [team, need] : needs) {
         const TeamFacts* f = teams_.facts(team);
         double most = f ? f->cpus_max : 0;
@@ -1023,6 +1054,7 @@
 Totals PartOwner::totals(Time now) const {
     Totals sum;
     sum.demand = demand(now);
+    sum.heard = true;
     FleetView own = fleet_view();
     double cpus = types_.empty() ? 0 : types_.front().cpus;
     std::size_t ordinary = own.ordinary.size();
@@ -1030,6 +1062,8 @@
     for (const auto& [part, peer] : peers_) {
         sum.demand.ordinary_cpus += peer.demand.ordinary_cpus;
         sum.demand.any_cpus += peer.demand.any_cpus;
+        sum.demand.left_cpu_s += peer.demand.left_cpu_s;
+        sum.heard = sum.heard && now - peer.wants_at < facts_.report_s;
         ordinary += peer.fleet.ordinary.size();
         spot += peer.fleet.spot.size();
     }
@@ -1268,6 +1302,7 @@
     }
     if (now >= next_fleet_) {
         next_fleet_ = now + facts_.report_s / 3;
+        find_longest(now);
         run_fleet(now);
     }
     place(now);
--- a/src/core/part_owner.h
+++ b/src/core/part_owner.h
@@ -53,6 +53,7 @@
     struct Candidate { // a job of ours that waits, or slots wanted by another part
         Priority priority;
         bool borrows;
+        bool longest; // its team's work takes longest: see find_longest
         Time due;
         Time since;
         Job* job;   // ours ...
@@ -62,6 +63,7 @@
     // When the job is next expected to have come to something, by the aims of its class.
     Time due(Time now, const Job& job) const;
     void refresh_order(Time now);
+    void find_longest(Time now);
     void fill(Time now, bool spot, bool spot_jobs);
     bool suits(Time now, const Machine& machine, const Candidate& candidate) const;
     void place_on(Time now, Machine& machine);
@@ -164,6 +166,7 @@
     std::map<std::string, std::pair<Rent, Time>> bought_; // for all parts, not up yet
     std::vector<Candidate> order_; // what waits, first come first; see refresh_order
     bool order_stale_ = true;
+    std::set<std::string> longest_; // teams whose work takes longer than all work together
     Time order_until_ = 0;
     std::uint64_t next_attempt_ = 1;
     std::uint64_t watch_from_ = 0;
--- a/src/core/stealing.cpp
+++ b/src/core/stealing.cpp
@@ -50,15 +50,18 @@
         }
     }
     std::sort(waiting.begin(), waiting.end(), [&](const Job* a, const Job* b) {
-        return std::tuple(a->spec.priority, due(now, *a), a->known_since) <
-               std::tuple(b->spec.priority, due(now, *b), b->known_since);
+        return std::tuple(a->spec.priority, !longest_.contains(a->spec.team), due(now, *a),
+                          a->known_since) < std::tuple(b->spec.priority,
+                                                       !longest_.contains(b->spec.team),
+                                                       due(now, *b), b->known_since);
     });
     // Many jobs, so that the peer can choose by image; it gives no more than the batch in all.
     Teams room = teams_; // so that slots are not asked for beyond a team's limit
     for (const Job* job : waiting) {
         const JobSpec& s = job->spec;
-        Want w{s.id,    0,      s.cpus, s.gpus,     s.ram_gb, s.image, s.image_gb,
-               s.types, s.zone, s.spot, s.priority, false,    0,       0};
+        Want w{s.id,   0,      s.cpus,     s.gpus, s.ram_gb, s.image, s.image_gb, s.types,
+               s.zone, s.spot, s.priority, false,  false,    0,       0};
+        w.longest = longest_.contains(s.team);
         w.borrows = !teams_.within_guarantee(s.team, s.cpus, s.gpus);
         w.age_s = now - job->known_since;
         w.due_s = std::max(0.0, due(now, *job) - now);
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -483,7 +483,7 @@
 }
 
 void pack_exchange(Packer& p, const Exchange& e) {
-    p.pack_map(11);
+    p.pack_map(12);
     field(p, "from", e.from);
     field(p, "most", e.most);
     field(p, "term", e.term);
@@ -491,7 +491,7 @@
     key(p, "wants");
     p.pack_array(static_cast<std::uint32_t>(e.wants.size()));
     for (const auto& w : e.wants) {
-        p.pack_map(14);
+        p.pack_map(15);
         field(p, "job", w.job);
         field(p, "count", w.count);
         field(p, "cpus", w.cpus);
@@ -506,6 +506,7 @@
         field(p, "spot", w.spot);
         field(p, "priority", name_of(w.priority, kPriorities));
         field(p, "borrows", w.borrows);
+        field(p, "longest", w.longest);
         field(p, "age_s", w.age_s);
         field(p, "due_s", w.due_s);
     }
@@ -525,6 +526,7 @@
     p.pack(e.returned);
     field(p, "ordinary_cpus", e.demand.ordinary_cpus);
     field(p, "any_cpus", e.demand.any_cpus);
+    field(p, "left_cpu_s", e.demand.left_cpu_s);
     pack_names(p, "ordinary", e.fleet.ordinary);
     pack_names(p, "spot", e.fleet.spot);
 }
@@ -551,6 +553,7 @@
         want.spot = w.flag("spot");
         want.priority = enum_of<Priority>(w.text("priority"), kPriorities, "priority");
         want.borrows = w.flag("borrows");
+        want.longest = w.flag("longest");
         want.age_s = w.amount("age_s");
         want.due_s = w.amount("due_s");
         e.wants.push_back(std::move(want));
@@ -563,7 +566,7 @@
     }
     e.most = static_cast<std::uint32_t>(f.integer("most"));
     e.returned = counts_of(f, "returned");
-    e.demand = {f.amount("ordinary_cpus"), f.amount("any_cpus")};
+    e.demand = {f.amount("ordinary_cpus"), f.amount("any_cpus"), f.amount("left_cpu_s")};
     e.fleet = {names_of(f, "ordinary"), names_of(f, "spot")};
     return e;
 }
