Plan due times by what a team can do, count silent machines as gone, rent in parallel

Change: jobs that cannot be done by their due time with what the team has, by a factor of 1.5, stand behind, the largest first (Moore and Hodgson); a machine that missed two reports is not counted as usable; listings of 500, once per list lag; several rental requests at once; releases are grouped.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -6,12 +6,14 @@
 namespace orchidlanding {
 
 namespace {
-constexpr int kMostPerOrder = 50;      // the cloud's own limit
-constexpr double kMissedReports = 2.5; // silent for so many report times: suspect
+constexpr int kMostPerOrder = 50;    // the cloud's own limit
+constexpr double kMissedReports = 2; // silent for so many report times: suspect
 } // namespace
 
-bool Fleet::usable(const Machine& m) {
+bool Fleet::usable(Time now, const Machine& m) const {
     bool down = !m.reported && (m.session > 0 || m.on_roster);
+    // One that has missed its reports is most likely gone, and another takes a boot to come.
+    down = down || (m.reported && now - m.last_report > kMissedReports * facts_.report_s);
     return !m.draining && !m.releasing && !m.notice_s && !m.trimming && !down;
 }
 
@@ -70,11 +72,16 @@
         ++least->second;
         ++share[least->first];
     }
-    for (const auto& [zone, n] : share) {
-        Rent rent{"r-" + std::to_string(term_) + "-" + std::to_string(next_order_++), type.name,
-                  zone, spot, std::min(n, kMostPerOrder)};
-        pending_.push_back({rent, now, true});
-        out.push_back(rent);
+    // Several requests at once where one may not ask for enough, within half of the cloud's limit.
+    auto most = static_cast<std::size_t>(std::max(1.0, facts_.cloud_rps / 4));
+    for (auto& [zone, left] : share) {
+        for (std::size_t i = 0; left > 0 && i < most; ++i) {
+            Rent rent{"r-" + std::to_string(term_) + "-" + std::to_string(next_order_++), type.name,
+                      zone, spot, std::min(left, kMostPerOrder)};
+            left -= rent.count;
+            pending_.push_back({rent, now, true});
+            out.push_back(rent);
+        }
     }
 }
 
@@ -137,7 +144,7 @@
             if (m.trimming && have < want) {
                 have += m.type.cpus;
                 changes.push_back(name);
-            } else if (usable(m)) {
+            } else if (usable(now, m)) {
                 own += m.type.cpus;
                 usables.emplace_back(-m.free_cpus(), &m);
             }
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -34,7 +34,7 @@
     // time, and takes the choice back when there are too few.
     std::vector<std::string> trim(Time now, const MachineTable& machines, const Totals& totals);
     // A machine that can be counted on.
-    static bool usable(const Machine& machine);
+    bool usable(Time now, const Machine& machine) const;
     // A name that was released; the list may show it for a while yet.
     void released(Time now, const std::string& name) { released_[name] = now; }
     bool was_released(Time now, const std::string& name);
--- a/src/core/job_store.h
+++ b/src/core/job_store.h
@@ -30,6 +30,7 @@
     // fault, so it waits longer each time instead of taking machine after machine with it.
     int failures = 0;
     Time hold_until = 0;
+    Time due = 0; // when it is next expected to have come to something; see PartOwner::plan
 
     bool open() const { return outcome == Outcome::none; }
     bool complete() const { return done == spec.tasks; }
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -20,6 +20,10 @@
 // Direct questions to a machine after a takeover: one for the session, one for the answer, one
 // more.
 constexpr int kProbes = 3;
+// Work for more than this many times the time there is cannot be done by then, though estimates err
+// and a team may get more CPUs than it has now.
+constexpr double kHopeless = 1.5;
+constexpr int kBuyer = 0;                  // the part whose owner rents for all
 constexpr std::size_t kMostCommands = 200; // keeps a response well under the 64 KiB allowed
 
 std::uint32_t chunk_tasks(const Facts& facts) {
@@ -582,8 +586,7 @@
 
 Time PartOwner::due(Time now, const Job& job) const {
     // A job that has missed all its aims stands behind those that can still meet one.
-    Time late = job.known_since + 1e6;
-    Time next = late;
+    Time next = late(job);
     // What is left takes at least this long, even with all that its team may use.
     const JobSpec& s = job.spec;
     const TeamFacts* team = teams_.facts(s.team);
@@ -613,6 +616,46 @@
            job.spec.kind != JobKind::gang;
 }
 
+// Gives each job its due time. Where a team cannot meet all of them with the CPUs it has, the job
+// with most work left of those due by then stands behind: aims count jobs, and one large job that
+// would be late all the same makes many small ones late (the rule of Moore and Hodgson).
+void PartOwner::plan(Time now) {
+    std::map<std::string, std::vector<Job*>> by_team;
+    for (const auto& [id, job] : jobs_.all()) {
+        if (job->open()) {
+            job->due = due(now, *job);
+            if (job->due < late(*job)) {
+                by_team[job->spec.team].push_back(job.get());
+            }
+        }
+    }
+    for (auto& [team, jobs] : by_team) {
+        std::sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
+            return std::tie(a->spec.priority, a->due, a->spec.id) <
+                   std::tie(b->spec.priority, b->due, b->spec.id);
+        });
+        double cpus = std::max(1.0, teams_.expected_cpus(team));
+        std::set<std::tuple<double, std::string, Job*>>
+            taken; // by work, so that the largest is last
+        double busy = 0;
+        for (Job* job : jobs) {
+            double work = left_cpu_s(*job) / cpus;
+            busy += work;
+            taken.insert({work, job->spec.id, job});
+            while (busy > kHopeless * (job->due - now) && !taken.empty()) {
+                auto largest = std::prev(taken.end());
+                Job* out = std::get<Job*>(*largest);
+                if (out->spec.priority < job->spec.priority) {
+                    break; // it runs first whatever its due time
+                }
+                busy -= std::get<double>(*largest);
+                out->due = late(*out);
+                taken.erase(largest);
+            }
+        }
+    }
+}
+
 // What waits, in the order in which idle slots go to it. It is kept for a moment: the order
 // hardly changes from one report to the next.
 void PartOwner::refresh_order(Time now) {
@@ -622,12 +665,13 @@
     order_stale_ = false;
     order_until_ = now + policy_.exchange_s;
     order_.clear();
+    plan(now);
     for (const auto& [id, job] : jobs_.all()) {
         const JobSpec& s = job->spec;
         if (waits(now, *job)) {
             order_.push_back({s.priority, !teams_.within_guarantee(s.team, s.cpus, s.gpus),
-                              longest_.contains(s.team), due(now, *job), job->known_since,
-                              job.get(), nullptr, part_});
+                              longest_.contains(s.team), job->due, job->known_since, job.get(),
+                              nullptr, part_});
         }
     }
     for (auto& [part, peer] : peers_) {
@@ -738,7 +782,12 @@
         return;
     }
     refresh_order(now);
-    auto best_of = [&](bool spot_jobs) {
+    // Ordinary machines serve first what may use nothing else.
+    auto turn = [&](const Candidate& c) {
+        bool cheap = c.want ? c.want->spot : c.job->spec.spot;
+        return m.spot ? (cheap ? 0 : -1) : (cheap ? 1 : 0);
+    };
+    auto best_of = [&](int now_serving) {
         const Candidate* best = nullptr;
         Time best_due = 0;
         for (const Candidate& c : order_) {
@@ -747,7 +796,7 @@
                          c.due >= best_due)) {
                 break; // no warm image makes up for that
             }
-            if ((c.want ? c.want->spot : c.job->spec.spot) != spot_jobs || !suits(now, m, c)) {
+            if (turn(c) != now_serving || !suits(now, m, c)) {
                 continue;
             }
             const std::string& image = c.want ? c.want->image : c.job->spec.image;
@@ -761,12 +810,8 @@
         }
         return best;
     };
-    // Ordinary machines serve first what may use nothing else.
-    for (bool spot_jobs : {false, true}) {
-        if (m.spot && !spot_jobs) {
-            continue;
-        }
-        while (const Candidate* c = best_of(spot_jobs)) {
+    for (int serving : {0, 1}) {
+        while (const Candidate* c = best_of(serving)) {
             if (c->want) {
                 lend(now, m, c->thief, *c->want);
             } else {
@@ -1041,10 +1086,10 @@
     return d;
 }
 
-FleetView PartOwner::fleet_view() const {
+FleetView PartOwner::fleet_view(Time now) const {
     FleetView view;
     for (const auto& [name, m] : machines_.all()) {
-        if (Fleet::usable(m)) {
+        if (fleet_.usable(now, m)) {
             (m.spot ? view.spot : view.ordinary).push_back(name);
         }
     }
@@ -1055,7 +1100,7 @@
     Totals sum;
     sum.demand = demand(now);
     sum.heard = true;
-    FleetView own = fleet_view();
+    FleetView own = fleet_view(now);
     double cpus = types_.empty() ? 0 : types_.front().cpus;
     std::size_t ordinary = own.ordinary.size();
     std::size_t spot = own.spot.size();
@@ -1092,7 +1137,7 @@
     // before it has heard what the others have, or it would rent that once more.
     bool heard = std::all_of(peers_.begin(), peers_.end(),
                              [](const auto& p) { return p.second.job_term > 0; });
-    if (part_ == 0 && (heard || now - since_ > facts_.lease_s)) {
+    if (part_ == kBuyer && (heard || now - since_ > facts_.lease_s)) {
         std::map<std::string, int> in_zone;
         for (const auto& [name, m] : machines_.all()) {
             ++in_zone[m.zone];
@@ -1165,6 +1210,7 @@
                 relist(*m);
                 continue;
             }
+            next_release_ = at + facts_.report_s / 2; // the cloud's limit is shared by all
             fleet_.released(at, name);
             slots_.remove(name);
             unaccounted_.erase(name);
@@ -1194,7 +1240,7 @@
     listing_ = true;
     calls_.send(ListHosts{after}, [this](Time at, CallReply& reply) {
         listing_ = false;
-        next_list_ = at + facts_.list_lag_s / 2;
+        next_list_ = at + facts_.list_lag_s;
         if (reply.status != 200) {
             return;
         }
@@ -1229,7 +1275,7 @@
 }
 
 // Where this part's slots are, and what waits: one line now and then.
-void PartOwner::log_stats() {
+void PartOwner::log_stats(Time now) {
     double total = 0;
     double running = 0;
     double fetching = 0;
@@ -1266,6 +1312,13 @@
                                 " sent=" + count(sent) + " idle=" + count(idle) + " closed=" +
                                 count(closed) + " jobs=" + std::to_string(jobs_.all().size()) +
                                 " waiting=" + std::to_string(waiting));
+    if (part_ == kBuyer) {
+        Totals all = totals(now);
+        calls_.log(Level::info,
+                   "event=fleet_stats wants_ordinary=" + count(all.demand.ordinary_cpus) +
+                       " wants_any=" + count(all.demand.any_cpus) + " has_ordinary=" +
+                       count(all.ordinary_cpus) + " has_spot=" + count(all.spot_cpus));
+    }
 }
 
 // ---- Time ----
@@ -1298,10 +1351,11 @@
     }
     if (now >= next_stats_) {
         next_stats_ = now + 2 * facts_.report_s;
-        log_stats();
+        log_stats(now);
     }
     if (now >= next_fleet_) {
         next_fleet_ = now + facts_.report_s / 3;
+        refresh_order(now);
         find_longest(now);
         run_fleet(now);
     }
--- a/src/core/part_owner.h
+++ b/src/core/part_owner.h
@@ -62,6 +62,8 @@
     };
     // When the job is next expected to have come to something, by the aims of its class.
     Time due(Time now, const Job& job) const;
+    static Time late(const Job& job) { return job.known_since + 1e6; }
+    void plan(Time now);
     void refresh_order(Time now);
     void find_longest(Time now);
     void fill(Time now, bool spot, bool spot_jobs);
@@ -120,9 +122,9 @@
     const std::string* find_slots(bool spot, const JobSpec& shape, const TaskRef* task,
                                   const Job* job) const;
     Placement shape_of(const JobSpec& spec) const;
-    FleetView fleet_view() const;
+    FleetView fleet_view(Time now) const;
     Totals totals(Time now) const;
-    void log_stats();
+    void log_stats(Time now);
     bool account(Time now, const TaskRef& task, ExitWhy why, const std::string& machine);
 
     // Durable writes.
--- a/src/core/stealing.cpp
+++ b/src/core/stealing.cpp
@@ -50,10 +50,10 @@
         }
     }
     std::sort(waiting.begin(), waiting.end(), [&](const Job* a, const Job* b) {
-        return std::tuple(a->spec.priority, !longest_.contains(a->spec.team), due(now, *a),
+        return std::tuple(a->spec.priority, !longest_.contains(a->spec.team), a->due,
                           a->known_since) < std::tuple(b->spec.priority,
-                                                       !longest_.contains(b->spec.team),
-                                                       due(now, *b), b->known_since);
+                                                       !longest_.contains(b->spec.team), b->due,
+                                                       b->known_since);
     });
     // Many jobs, so that the peer can choose by image; it gives no more than the batch in all.
     Teams room = teams_; // so that slots are not asked for beyond a team's limit
@@ -64,7 +64,7 @@
         w.longest = longest_.contains(s.team);
         w.borrows = !teams_.within_guarantee(s.team, s.cpus, s.gpus);
         w.age_s = now - job->known_since;
-        w.due_s = std::max(0.0, due(now, *job) - now);
+        w.due_s = std::max(0.0, job->due - now);
         while (w.count < peer.batch && w.count < job->waiting.size() &&
                room.fits(s.team, s.cpus, s.gpus)) {
             room.use(s.team, s.cpus, s.gpus);
@@ -85,13 +85,14 @@
     out.from = part_;
     out.term = term_;
     out.to = part;
+    refresh_order(now);
     out.wants = wants_for(now, peer);
     out.returned = std::exchange(peer.returned, {});
     for (auto& [attempt, told] : std::exchange(peer.told, {})) {
         out.told.push_back(std::move(told));
     }
     out.demand = demand(now);
-    out.fleet = fleet_view();
+    out.fleet = fleet_view(now);
     std::uint32_t asked = 0;
     for (const auto& w : out.wants) {
         asked += w.count;
--- a/src/core/teams.cpp
+++ b/src/core/teams.cpp
@@ -1,5 +1,7 @@
 #include "core/teams.h"
 
+#include <algorithm>
+
 namespace orchidlanding {
 
 namespace {
@@ -36,6 +38,11 @@
     return t.cpus + cpus <= t.facts.cpus + kRounding && t.gpus + gpus <= t.facts.gpus + kRounding;
 }
 
+double Teams::expected_cpus(const std::string& team) const {
+    auto it = teams_.find(team);
+    return it == teams_.end() ? 0 : std::max(it->second.cpus, it->second.facts.cpus);
+}
+
 void Teams::use(const std::string& team, double cpus, double gpus) {
     teams_[team].cpus += cpus;
     teams_[team].gpus += gpus;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -702,7 +702,7 @@
         out.path = "/kv/" + escaped(get->key);
     } else if (const auto* range = std::get_if<Range>(&call)) {
         out.method = "GET";
-        out.path = "/kv?starts=" + escaped(range->prefix) + "&limit=200";
+        out.path = "/kv?starts=" + escaped(range->prefix) + "&limit=1000";
         if (!range->after.empty()) {
             out.path += "&since=" + escaped(range->after);
         }
@@ -755,7 +755,7 @@
     } else if (const auto* list = std::get_if<ListHosts>(&call)) {
         out.service = Service::cloud;
         out.method = "GET";
-        out.path = "/hosts?limit=200";
+        out.path = "/hosts?limit=500";
         if (!list->after.empty()) {
             out.path += "&since=" + escaped(list->after);
         }
