Owners' lease 0.65 of the workers' lease instead of 0.45

A node that comes back claims its own part at once, so only a node that stays away is taken over later: 11 s, and 0.3 to 5 s to settle, still within the workers' 17 s. Ruled out: 0.8 leaves 3 s to settle.

--- a/src/policy/defaults.h
+++ b/src/policy/defaults.h
@@ -7,7 +7,7 @@
 
 inline Policy defaults(const Facts& facts) {
     Policy p;
-    p.part_lease_s = 0.45 * facts.lease_s; // a takeover leaves workers' leases time to go on
+    p.part_lease_s = 0.65 * facts.lease_s; // a takeover leaves workers' leases time to go on
     p.idle_return_s = 0.4;                 // of a boot: about what it costs to rent again
     p.rent_horizon_s = 1.0;                // of a boot: waiting work should be done by then
     p.demand_fade_s = 0.4;                 // of a boot: peaks of the demand fade over it
