--- a/src/core/calls.h
+++ b/src/core/calls.h
@@ -19,6 +19,7 @@
     CallId send(CallBody body, Then then);
     // Sends a call to the state service if the budget lets this use have it.
     bool send_state(Time now, StateBudget::Use use, CallBody body, Then then);
+    int most_changes(StateBudget::Use use) const { return budget_.most_changes(use); }
     // False: not a call of this one.
     bool answered(Time now, CallReply& reply);
 
--- a/src/core/job_store.cpp
+++ b/src/core/job_store.cpp
@@ -124,15 +124,17 @@
     return job.chunk_saved[chunk] == job.chunk_changed[chunk];
 }
 
-std::vector<DirtyChunk> JobStore::dirty(std::size_t most) const {
+std::vector<DirtyChunk> JobStore::dirty(std::size_t most) {
     std::vector<DirtyChunk> out;
-    for (const auto& [id, chunk] : dirty_) {
-        if (out.size() == most) {
-            break;
+    auto it = dirty_.upper_bound(last_dirty_);
+    for (std::size_t looked = 0; looked < dirty_.size() && out.size() < most; ++looked, ++it) {
+        if (it == dirty_.end()) {
+            it = dirty_.begin();
         }
-        const Job& job = *jobs_.at(id);
+        const Job& job = *jobs_.at(it->first);
         if (!job.complete()) { // a complete job's bits go with its final write
-            out.push_back({id, chunk, job.chunk_changed[chunk]});
+            out.push_back({it->first, it->second, job.chunk_changed[it->second]});
+            last_dirty_ = *it;
         }
     }
     return out;
--- a/src/core/job_store.h
+++ b/src/core/job_store.h
@@ -60,7 +60,8 @@
     void drop(const std::string& id);
 
     bool durable(const Job& job, std::uint32_t task) const;
-    std::vector<DirtyChunk> dirty(std::size_t most) const;
+    // Chunks to be saved, going on behind those of the last call, so that each has its turn.
+    std::vector<DirtyChunk> dirty(std::size_t most);
     std::vector<bool> chunk_bits(const Job& job, std::uint32_t chunk) const;
     void saved(const DirtyChunk& chunk);
     std::uint32_t chunks(const Job& job) const;
@@ -73,6 +74,7 @@
     std::unordered_map<std::string, Outcome> finals_;
     std::deque<std::string> finals_order_;
     std::set<std::pair<std::string, std::uint32_t>> dirty_;
+    std::pair<std::string, std::uint32_t> last_dirty_;
 };
 
 } // namespace orchidlanding
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -23,6 +23,7 @@
 // Work for more than this many times the time there is cannot be done by then, though estimates err
 // and a team may get more CPUs than it has now.
 constexpr double kHopeless = 1.5;
+constexpr double kProgressShare = 0.5;     // of the changes that the state service takes
 constexpr int kBuyer = 0;                  // the part whose owner rents for all
 constexpr std::size_t kMostCommands = 200; // keeps a response well under the 64 KiB allowed
 
@@ -954,7 +955,9 @@
     if (saving_ || !loaded_) {
         return;
     }
-    auto dirty = jobs_.dirty(static_cast<std::size_t>(facts_.txn_ops));
+    // No more than the budget can ever give at once, or nothing would be saved while much changes.
+    int most = std::min(facts_.txn_ops, calls_.most_changes(StateBudget::Use::progress));
+    auto dirty = jobs_.dirty(static_cast<std::size_t>(most));
     if (dirty.empty()) {
         return;
     }
@@ -972,16 +975,21 @@
             {progress_key(dirty[n].job, dirty[n].chunk), ProgressRecord{std::move(bits)}, {}});
     }
     dirty.resize(n);
-    saving_ = calls_.send_state(now, StateBudget::Use::progress, std::move(txn),
-                                [this, dirty](Time at, CallReply& reply) {
-                                    saving_ = false;
-                                    next_save_ = at + facts_.report_s / 3;
-                                    if (wrote(reply, "progress")) {
-                                        for (const auto& chunk : dirty) {
-                                            jobs_.saved(chunk);
-                                        }
-                                    }
-                                });
+    saving_ = calls_.send_state(
+        now, StateBudget::Use::progress, std::move(txn), [this, dirty](Time at, CallReply& reply) {
+            saving_ = false;
+            // All parts together leave half of the changes to new jobs,
+            // outcomes and the roster.
+            double parts = static_cast<double>(facts_.parts.size());
+            double changes = static_cast<double>(dirty.size());
+            next_save_ = at + std::max(facts_.report_s / 3,
+                                       changes * parts / (kProgressShare * facts_.state_write_rps));
+            if (wrote(reply, "progress")) {
+                for (const auto& chunk : dirty) {
+                    jobs_.saved(chunk);
+                }
+            }
+        });
 }
 
 // The job's outcome and the end of its progress keys are one write; only then is it done.
@@ -993,8 +1001,9 @@
     std::string id = job.spec.id;
     txn.when.push_back({kJobs + id, job.version});
     txn.then.push_back({kJobs + id, JobRecord{Outcome::done, {}}, {}});
+    int most = std::min(facts_.txn_ops, calls_.most_changes(StateBudget::Use::user));
     for (std::uint32_t c = 0; c < jobs_.chunks(job); ++c) {
-        if (job.chunk_saved[c] > 0 && static_cast<int>(txn.then.size()) < facts_.txn_ops) {
+        if (job.chunk_saved[c] > 0 && static_cast<int>(txn.then.size()) < most) {
             txn.then.push_back({progress_key(id, c), {}, {}});
         }
     }
--- a/src/core/state_budget.cpp
+++ b/src/core/state_budget.cpp
@@ -44,7 +44,9 @@
     if (requests_ - 1 < reserve(use) * rps_) {
         return false;
     }
-    if (writes > 0 && writes_ - writes < reserve(use) * write_rps_) {
+    // A limit below one change a second still lets one through when nothing else is written.
+    double left = std::min(reserve(use) * write_rps_, write_rps_ - 1);
+    if (writes > 0 && writes_ - writes < left) {
         return false;
     }
     requests_ -= 1;
@@ -52,6 +54,10 @@
     return true;
 }
 
+int StateBudget::most_changes(Use use) const {
+    return std::max(1, static_cast<int>((1 - reserve(use)) * write_rps_));
+}
+
 void StateBudget::refused(Time now) {
     refill(now);
     requests_ = std::min(requests_, 0.3 * rps_);
--- a/src/core/state_budget.h
+++ b/src/core/state_budget.h
@@ -12,6 +12,8 @@
     StateBudget(double rps, double write_rps, int nodes);
     // Takes one request and `writes` changes, or says that this use must wait.
     bool take(Time now, Use use, int writes);
+    // The most changes that one transaction of this use can ever have.
+    int most_changes(Use use) const;
     // The service said 429: the other nodes use more than we thought.
     void refused(Time now);
 
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -498,6 +498,36 @@
     EXPECT_EQ(part_of_team(w.facts(0), "nobody"), -1);
 }
 
+// Twelve changes are more than a fifth of a small limit ever gives at once: with more dirty chunks
+// than that, nothing was saved at all.
+TEST(Progress, OfManyJobsIsSavedInTurnWithinASmallLimitOfChanges) {
+    World w({.nodes = 5, .limits = 20, .capacity = 200});
+    std::set<std::string> saved;
+    std::size_t most = 0;
+    w.intercept = [&](int, const CallBody& body) {
+        std::size_t here = 0;
+        if (const auto* txn = std::get_if<Txn>(&body)) {
+            for (const auto& c : txn->then) {
+                if (c.put && c.key.starts_with("done/")) {
+                    saved.insert(c.key.substr(5, c.key.find('/', 5) - 5));
+                    ++here;
+                }
+            }
+        }
+        most = std::max(most, here);
+        return false;
+    };
+    w.run_for(3);
+    for (int j = 0; j < 14; ++j) {
+        w.submit(j % 5, w.job("req-" + std::to_string(j), 30));
+    }
+    w.run_for(45);
+    EXPECT_EQ(saved.size(), 14u);
+    EXPECT_GT(most, 1u);
+    EXPECT_LE(most, 5u);
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+}
+
 // What a peer has not heard of yet must not be forgotten with the machine: its owner's log of
 // changed listings once lost the end of a task when the machine was released before the peer was
 // heard again, and the task counted as placed for ever.
