Progress takes 0.3 of the changes; one place forgets what was said about guests

Progress may be later, a submission may not. Also the two loops in PartOwner::upkeep that dropped old words on guests are one method of Machine.

--- a/src/core/machine_table.cpp
+++ b/src/core/machine_table.cpp
@@ -68,6 +68,25 @@
     }
 }
 
+void Machine::forget_told() {
+    if (stop_guests.empty() && clear_guests.empty()) {
+        return;
+    }
+    std::set<std::uint64_t> here;
+    for (const auto& t : finished) {
+        here.insert(t.attempt);
+    }
+    for (const auto& [task, p] : tasks) {
+        here.insert(p.attempt);
+    }
+    for (const auto& [attempt, lot] : lots) { // the start may be on its way
+        here.insert(attempt);
+    }
+    for (auto* told : {&stop_guests, &clear_guests}) {
+        std::erase_if(*told, [&](std::uint64_t attempt) { return !here.contains(attempt); });
+    }
+}
+
 bool Machine::has_foreign() const {
     return std::any_of(foreign.begin(), foreign.end(),
                        [](const ListedTask& t) { return t.stage != TaskStage::exited; });
--- a/src/core/machine_table.h
+++ b/src/core/machine_table.h
@@ -96,6 +96,8 @@
     // An exited attempt of the task is listed still: another would be refused as busy.
     bool holds_exited(const TaskRef& task) const;
     void touch_image(const std::string& image, double gb);
+    // What was said about guests holds until it has shown.
+    void forget_told();
 };
 
 // What a listing showed of a machine's tasks.
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -23,7 +23,7 @@
 // Work for more than this many times the time there is cannot be done by then, though estimates err
 // and a team may get more CPUs than it has now.
 constexpr double kHopeless = 1.5;
-constexpr double kProgressShare = 0.5;     // of the changes that the state service takes
+constexpr double kProgressShare = 0.3;     // of the changes that the state service takes
 constexpr int kBuyer = 0;                  // the part whose owner rents for all
 constexpr std::size_t kMostCommands = 200; // keeps a response well under the 64 KiB allowed
 
@@ -473,29 +473,7 @@
     if (!loaded_) {
         return; // what is not known yet may be a job's rightful task
     }
-    if (!m.clear_guests.empty()) { // what has shown is over
-        std::set<std::uint64_t> left;
-        for (const auto& t : m.finished) {
-            if (m.clear_guests.contains(t.attempt)) {
-                left.insert(t.attempt);
-            }
-        }
-        m.clear_guests = std::move(left);
-    }
-    if (!m.stop_guests.empty()) {
-        std::set<std::uint64_t> left;
-        for (const auto& [task, p] : m.tasks) {
-            if (m.stop_guests.contains(p.attempt)) {
-                left.insert(p.attempt);
-            }
-        }
-        for (const auto& [attempt, lot] : m.lots) { // the start may be on its way
-            if (m.stop_guests.contains(attempt)) {
-                left.insert(attempt);
-            }
-        }
-        m.stop_guests = std::move(left);
-    }
+    m.forget_told();
     for (const auto& t : m.finished) {
         bool guest = part_of_attempt(t.attempt) != part_;
         bool durable = guest ? m.clear_guests.contains(t.attempt) : end_is_durable(t);
