One test for a silent machine; a left-over of a try gone; two comments put right

Fleet asked in three places whether a machine has missed its reports: one method now. place_on kept the three-way turn of a try that was taken back (high priority on ordinary machines): two passes serve as well. The order was refreshed on a timer for a rental horizon that was taken back too; those who use the order refresh it. Comments said half of the changes and half of the cloud's limit where it is otherwise.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -10,11 +10,15 @@
 constexpr double kMissedReports = 2; // silent for so many report times: suspect
 } // namespace
 
+// One that has missed its reports is most likely gone.
+bool Fleet::silent(Time now, const Machine& m) const {
+    return m.reported && now - m.last_report > kMissedReports * facts_.report_s;
+}
+
 bool Fleet::usable(Time now, const Machine& m) const {
     bool down = !m.reported && (m.session > 0 || m.on_roster);
-    // One that has missed its reports is most likely gone, and another takes a boot to come.
-    down = down || (m.reported && now - m.last_report > kMissedReports * facts_.report_s);
-    return !m.draining && !m.releasing && !m.notice_s && !m.trimming && !down;
+    // Another in place of a silent one takes a boot to come.
+    return !m.draining && !m.releasing && !m.notice_s && !m.trimming && !down && !silent(now, m);
 }
 
 std::vector<Rent> Fleet::rent(Time now, const Totals& totals, const std::vector<MachineType>& types,
@@ -72,7 +76,8 @@
         ++least->second;
         ++share[least->first];
     }
-    // Several requests at once where one may not ask for enough, within half of the cloud's limit.
+    // Several requests at once where one may not ask for enough, each zone and kind within a
+    // quarter of the cloud's limit.
     auto most = static_cast<std::size_t>(std::max(1.0, facts_.cloud_rps / 4));
     for (auto& [zone, left] : share) {
         for (std::size_t i = 0; left > 0 && i < most; ++i) {
@@ -177,13 +182,10 @@
     double ordinary = totals.ordinary_cpus;
     double spot = totals.spot_cpus;
     std::size_t reporting = 0;
-    std::size_t silent = 0;
-    double silence = kMissedReports * facts_.report_s;
+    std::size_t missing = 0;
     for (const auto& [name, m] : machines.all()) {
-        if (m.reported) {
-            ++reporting;
-            silent += now - m.last_report > silence;
-        }
+        reporting += m.reported;
+        missing += silent(now, m);
     }
     for (const auto& [name, m] : machines.all()) {
         if (m.releasing) {
@@ -204,7 +206,7 @@
         // Few machines silent while the rest report: these are dead, taken or cut off. A
         // release makes sure that nothing runs there, well before the lease does. Many silent
         // at once are more likely our own trouble.
-        if (may_suspect && now - m.last_report > silence && silent * 4 <= reporting + 3) {
+        if (may_suspect && silent(now, m) && missing * 4 <= reporting + 3) {
             out.push_back(name);
             continue;
         }
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -44,6 +44,7 @@
     }
 
   private:
+    bool silent(Time now, const Machine& machine) const;
     struct Pending {
         Rent rent;
         Time next = 0;
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -785,12 +785,7 @@
         return;
     }
     refresh_order(now);
-    // Ordinary machines serve first what may use nothing else.
-    auto turn = [&](const Candidate& c) {
-        bool cheap = c.want ? c.want->spot : c.job->spec.spot;
-        return m.spot ? (cheap ? 0 : -1) : (cheap ? 1 : 0);
-    };
-    auto best_of = [&](int now_serving) {
+    auto best_of = [&](bool spot_jobs) {
         const Candidate* best = nullptr;
         Time best_due = 0;
         for (const Candidate& c : order_) {
@@ -800,7 +795,7 @@
                          c.due >= best_due)) {
                 break; // no warm image makes up for that
             }
-            if (turn(c) != now_serving || !suits(now, m, c)) {
+            if ((c.want ? c.want->spot : c.job->spec.spot) != spot_jobs || !suits(now, m, c)) {
                 continue;
             }
             const std::string& image = c.want ? c.want->image : c.job->spec.image;
@@ -814,8 +809,12 @@
         }
         return best;
     };
-    for (int serving : {0, 1}) {
-        while (const Candidate* c = best_of(serving)) {
+    // Ordinary machines serve first what may use nothing else.
+    for (bool spot_jobs : {false, true}) {
+        if (m.spot && !spot_jobs) {
+            continue;
+        }
+        while (const Candidate* c = best_of(spot_jobs)) {
             if (c->want) {
                 lend(now, m, c->thief, *c->want);
             } else {
@@ -956,8 +955,7 @@
     saving_ = calls_.send_state(
         now, StateBudget::Use::progress, std::move(txn), [this, dirty](Time at, CallReply& reply) {
             saving_ = false;
-            // All parts together leave half of the changes to new jobs,
-            // outcomes and the roster.
+            // All parts together leave most of the changes to new jobs, outcomes and the roster.
             double parts = static_cast<double>(facts_.parts.size());
             double changes = static_cast<double>(dirty.size());
             next_save_ = at + std::max(facts_.report_s / 3,
@@ -1382,7 +1380,6 @@
     }
     if (now >= next_fleet_) {
         next_fleet_ = now + facts_.report_s / 3;
-        refresh_order(now);
         find_longest(now);
         run_fleet(now);
     }
