--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -22,7 +22,7 @@
 }
 
 std::vector<Rent> Fleet::rent(Time now, const Totals& totals, const std::vector<MachineType>& types,
-                              const std::map<std::string, int>& in_zone) {
+                              std::map<std::string, double> in_zone) {
     std::vector<Rent> out;
     for (auto& p : pending_) {
         if (!p.in_flight && now >= p.next) {
@@ -33,61 +33,75 @@
     if (types.empty()) {
         return out;
     }
-    const MachineType& type =
-        *std::min_element(types.begin(), types.end(), [](const auto& a, const auto& b) {
-            return a.price / a.cpus < b.price / b.cpus;
-        });
     const Demand& demand = totals.demand;
-    double ordinary = totals.ordinary_cpus;
-    double spot = totals.spot_cpus;
+    double ordinary = totals.ordinary_slots;
+    double spot = totals.spot_slots;
     for (const auto& p : pending_) {
-        (p.rent.spot ? spot : ordinary) += p.rent.count * type.cpus;
-    }
-    double lack = demand.ordinary_cpus - ordinary;
-    if (lack > 0) {
-        ask(now, type, false, static_cast<int>(std::ceil(lack / type.cpus)), out, in_zone);
-    }
-    double spare = std::max(0.0, ordinary - demand.ordinary_cpus);
-    lack = demand.any_cpus - spot - spare;
-    if (lack > 0) {
-        ask(now, type, true, static_cast<int>(std::ceil(lack / type.cpus)), out, in_zone);
+        auto t = std::find_if(types.begin(), types.end(),
+                              [&](const MachineType& m) { return m.name == p.rent.type; });
+        if (t != types.end()) {
+            (p.rent.spot ? spot : ordinary) += p.rent.count * t->slots();
+            in_zone[p.rent.zone] += p.rent.count * t->slots();
+        }
     }
+    ask(now, types, false, demand.ordinary_slots - ordinary, out, in_zone);
+    double spare = std::max(0.0, ordinary - demand.ordinary_slots);
+    ask(now, types, true, demand.any_slots - spot - spare, out, in_zone);
     return out;
 }
 
-void Fleet::ask(Time now, const MachineType& type, bool spot, int count, std::vector<Rent>& out,
-                const std::map<std::string, int>& machines_in_zone) {
-    // One zone after the other, the one with the fewest machines first.
-    std::map<std::string, int> in_zone;
-    for (const auto& zone : type.zones) {
-        auto until = refused_until_.find({SlotKind{type.name, spot}, zone});
-        if (until == refused_until_.end() || now >= until->second) {
-            auto have = machines_in_zone.find(zone);
-            in_zone[zone] = have == machines_in_zone.end() ? 0 : have->second;
+// Rents what is lacking, machine by machine: in the zone with the fewest slots so far, of the type
+// with the lowest price for a slot there. What is refused is left alone for a while, so that the
+// next zone or type has its turn.
+void Fleet::ask(Time now, const std::vector<MachineType>& types, bool spot, double lack,
+                std::vector<Rent>& out, std::map<std::string, double>& in_zone) {
+    std::vector<const MachineType*> cheapest;
+    for (const auto& t : types) {
+        cheapest.push_back(&t);
+    }
+    std::stable_sort(cheapest.begin(), cheapest.end(), [&](const auto* a, const auto* b) {
+        return a->price_of(spot) / a->slots() < b->price_of(spot) / b->slots();
+    });
+    std::map<std::string, const MachineType*> open; // by zone
+    for (const auto* t : cheapest) {
+        for (const auto& zone : t->zones) {
+            auto until = refused_until_.find({SlotKind{t->name, spot}, zone});
+            if (until == refused_until_.end() || now >= until->second) {
+                open.emplace(zone, t);
+            }
         }
     }
-    if (in_zone.empty()) {
-        return;
-    }
-    std::map<std::string, int> share;
-    for (int i = 0; i < count; ++i) {
-        auto least = std::min_element(in_zone.begin(), in_zone.end(),
-                                      [](auto& a, auto& b) { return a.second < b.second; });
-        ++least->second;
-        ++share[least->first];
-    }
     // Several requests at once where one may not ask for enough, each zone and kind within a
     // quarter of the cloud's limit.
-    auto most = static_cast<std::size_t>(std::max(1.0, facts_.cloud_rps / 4));
-    for (auto& [zone, left] : share) {
-        for (std::size_t i = 0; left > 0 && i < most; ++i) {
-            Rent rent{"r-" + std::to_string(term_) + "-" + std::to_string(next_order_++), type.name,
-                      zone, spot, std::min(left, kMostPerOrder)};
-            left -= rent.count;
-            pending_.push_back({rent, now, true});
-            out.push_back(rent);
+    int most = kMostPerOrder * static_cast<int>(std::max(1.0, facts_.cloud_rps / 4));
+    std::map<std::string, int> count;
+    while (lack > 0 && !open.empty()) {
+        auto least = std::min_element(open.begin(), open.end(), [&](const auto& a, const auto& b) {
+            return in_zone[a.first] < in_zone[b.first];
+        });
+        const auto& [zone, t] = *least;
+        lack -= t->slots();
+        in_zone[zone] += t->slots();
+        if (++count[zone] == most) {
+            add_orders(now, *t, zone, spot, count[zone], out);
+            count.erase(zone);
+            open.erase(least);
         }
     }
+    for (const auto& [zone, machines] : count) {
+        add_orders(now, *open.at(zone), zone, spot, machines, out);
+    }
+}
+
+void Fleet::add_orders(Time now, const MachineType& type, const std::string& zone, bool spot,
+                       int count, std::vector<Rent>& out) {
+    while (count > 0) {
+        Rent rent{"r-" + std::to_string(term_) + "-" + std::to_string(next_order_++), type.name,
+                  zone, spot, std::min(count, kMostPerOrder)};
+        count -= rent.count;
+        pending_.push_back({rent, now, true});
+        out.push_back(rent);
+    }
 }
 
 void Fleet::rented(Time now, const Rent& rent, int status, std::size_t got) {
@@ -129,29 +143,29 @@
     auto follow = [&](double& recent, double current) {
         recent = std::max(current, recent + (current - recent) * fade);
     };
-    follow(recent_.ordinary_cpus, totals.demand.ordinary_cpus);
-    follow(recent_.any_cpus, totals.demand.any_cpus);
+    follow(recent_.ordinary_slots, totals.demand.ordinary_slots);
+    follow(recent_.any_slots, totals.demand.any_slots);
     std::vector<std::string> changes;
     // While another part is not heard, what it wants may be more than it wanted then.
     bool step = now >= next_trim_ && totals.heard;
     for (bool spot : {false, true}) {
-        double have = spot ? totals.spot_cpus : totals.ordinary_cpus;
+        double have = spot ? totals.spot_slots : totals.ordinary_slots;
         double want =
-            spot ? recent_.any_cpus
-                 : recent_.ordinary_cpus + std::max(0.0, recent_.any_cpus - totals.spot_cpus);
+            spot ? recent_.any_slots
+                 : recent_.ordinary_slots + std::max(0.0, recent_.any_slots - totals.spot_slots);
         want = want < 1 ? 0 : want * (1 + policy_.spare_share); // a fading peak is never quite 0
-        std::vector<std::pair<double, const Machine*>> usables; // by what is free on them
+        std::vector<std::pair<double, const Machine*>> usables; // by the share that is free on them
         double own = 0;
         for (const auto& [name, m] : machines.all()) {
             if (m.spot != spot || !m.reported) {
                 continue;
             }
             if (m.trimming && have < want) {
-                have += m.type.cpus;
+                have += m.type.slots();
                 changes.push_back(name);
             } else if (usable(now, m)) {
-                own += m.type.cpus;
-                usables.emplace_back(-m.free_cpus(), &m);
+                own += m.type.slots();
+                usables.emplace_back(-m.free_slots() / m.type.slots(), &m);
             }
         }
         if (!step || usables.empty()) {
@@ -163,12 +177,12 @@
         double room = 0.5 * (have - want) * own / std::max(own, have);
         bool first = true;
         for (const auto& [free, m] : usables) {
-            if (have - m->type.cpus < want || (!first && room < m->type.cpus)) {
+            if (have - m->type.slots() < want || (!first && room < m->type.slots())) {
                 break;
             }
             first = false;
-            have -= m->type.cpus;
-            room -= m->type.cpus;
+            have -= m->type.slots();
+            room -= m->type.slots();
             changes.push_back(m->name);
             next_trim_ = now + facts_.report_s / 2;
         }
@@ -179,8 +193,8 @@
 std::vector<std::string> Fleet::surplus(Time now, const MachineTable& machines,
                                         const Totals& totals, bool may_suspect) const {
     std::vector<std::string> out;
-    double ordinary = totals.ordinary_cpus;
-    double spot = totals.spot_cpus;
+    double ordinary = totals.ordinary_slots;
+    double spot = totals.spot_slots;
     std::size_t reporting = 0;
     std::size_t missing = 0;
     for (const auto& [name, m] : machines.all()) {
@@ -219,9 +233,9 @@
         }
         if (totals.heard && now - m.idle_since > policy_.idle_return_s * m.type.boot_s) {
             double& have = m.spot ? spot : ordinary;
-            double want = m.spot ? recent_.any_cpus : recent_.ordinary_cpus;
-            if (have - m.type.cpus >= want - 1) {
-                have -= m.type.cpus;
+            double want = m.spot ? recent_.any_slots : recent_.ordinary_slots;
+            if (have - m.type.slots() >= want - 1) {
+                have -= m.type.slots();
                 out.push_back(name);
             }
         }
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -12,8 +12,8 @@
 // What all parts have and want together, as far as this owner has heard.
 struct Totals {
     Demand demand;
-    double ordinary_cpus = 0;
-    double spot_cpus = 0;
+    double ordinary_slots = 0;
+    double spot_slots = 0;
     bool heard = false; // every other part has said lately what it has and wants
 };
 
@@ -24,7 +24,7 @@
 
     // Rental requests to send now. Those without an answer are sent again under their name.
     std::vector<Rent> rent(Time now, const Totals& totals, const std::vector<MachineType>& types,
-                           const std::map<std::string, int>& in_zone);
+                           std::map<std::string, double> in_zone);
     void rented(Time now, const Rent& rent, int status, std::size_t got);
 
     // Machines to give back: idle for long, never up, lost, or at fault.
@@ -50,8 +50,10 @@
         Time next = 0;
         bool in_flight = false;
     };
-    void ask(Time now, const MachineType& type, bool spot, int count, std::vector<Rent>& out,
-             const std::map<std::string, int>& in_zone);
+    void ask(Time now, const std::vector<MachineType>& types, bool spot, double lack,
+             std::vector<Rent>& out, std::map<std::string, double>& in_zone);
+    void add_orders(Time now, const MachineType& type, const std::string& zone, bool spot,
+                    int count, std::vector<Rent>& out);
 
     Facts facts_;
     Policy policy_;
--- a/src/core/io.h
+++ b/src/core/io.h
@@ -61,15 +61,15 @@
     std::string image;
     double image_gb = 0;
 };
-// Work that waits or runs, in CPUs.
+// Work that waits or runs, in slots.
 struct Demand {
-    double ordinary_cpus = 0; // for jobs that may not use spot machines
-    double any_cpus = 0;      // for jobs that may
-    double left_cpu_s = 0;    // run time left of all of it, by the estimates
+    double ordinary_slots = 0; // for jobs that may not use spot machines
+    double any_slots = 0;      // for jobs that may
+    double left_slot_s = 0;    // run time left of all of it, by the estimates
 };
-struct FleetView { // how many usable machines a part has
-    std::uint32_t ordinary = 0;
-    std::uint32_t spot = 0;
+struct FleetView { // slots of the usable machines of a part
+    double ordinary = 0;
+    double spot = 0;
 };
 struct Bought { // a machine of the callee's part, rented by the caller for all
     std::string machine;
--- a/src/core/machine_table.h
+++ b/src/core/machine_table.h
@@ -89,6 +89,7 @@
     double free_cpus() const;
     double free_gpus() const;
     double free_ram() const;
+    double free_slots() const { return type.gpus > 0 ? free_gpus() : free_cpus(); }
     bool warm(const std::string& image) const;
     bool has_foreign() const;
     bool has_unknown_shape() const;
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -32,10 +32,10 @@
     return static_cast<std::uint32_t>(std::max(64.0, facts.value_kb * 1024 * 0.75 * 4));
 }
 
-// Tasks that run are half done on the whole.
-double left_cpu_s(const Job& job) {
+// Run time left of the job's tasks. Those that run are half done on the whole; replicas run for ever.
+double left_s(const Job& job) {
     double tasks = static_cast<double>(job.waiting.size()) + 0.5 * job.placed;
-    return job.spec.kind == JobKind::array ? tasks * job.spec.estimate_s * job.spec.cpus : 0;
+    return job.spec.kind == JobKind::service ? 0 : tasks * job.spec.estimate_s;
 }
 
 std::string progress_key(const std::string& job, std::uint32_t chunk) {
@@ -58,6 +58,18 @@
     load(now, kJobs, "");
 }
 
+// The cheapest type that such a task fits on, by which its slots are counted.
+const MachineType& PartOwner::usual_type(const JobSpec& s) const {
+    auto cost = [&](const MachineType& t) {
+        bool fits = s.allows_type(t.name) && s.cpus <= t.cpus && s.gpus <= t.gpus &&
+                    s.ram_gb <= t.ram_gb;
+        return std::pair(!fits, t.price * slots_needed(t, s.cpus, s.gpus, s.ram_gb) / t.slots());
+    };
+    return *std::min_element(types_.begin(), types_.end(), [&](const auto& a, const auto& b) {
+        return cost(a) < cost(b);
+    });
+}
+
 const MachineType* PartOwner::type(const std::string& name) const {
     for (const auto& t : types_) {
         if (t.name == name) {
@@ -515,8 +527,9 @@
 }
 
 void PartOwner::relist(Machine& m) {
-    slots_.set({m.type.name, m.spot}, m.name,
-               may_place(m) ? slots_idle(m.free_cpus(), m.free_ram(), m.type) : 0);
+    int idle = slots_idle(m.free_cpus(), m.free_gpus(), m.free_ram(), m.type);
+    bool listed = may_place(m) && (idle > 0 || m.type.gpus > 0);
+    slots_.set({m.type.name, m.spot}, m.name, listed ? idle : -1);
     note_guests(m.name, &m);
 }
 
@@ -557,7 +570,7 @@
                        (!warm || m.warm(s.image)) && !(task && m.holds_exited(*task));
             };
             const std::string* found =
-                slots_.pop({t.name, spot}, slots_needed(t, s.cpus, s.ram_gb), fits);
+                slots_.pop({t.name, spot}, slots_listed(t, s.cpus, s.gpus, s.ram_gb), fits);
             if (found) {
                 return found;
             }
@@ -594,7 +607,8 @@
     const JobSpec& s = job.spec;
     const TeamFacts* team = teams_.facts(s.team);
     double left = static_cast<double>(s.tasks - job.done);
-    double shortest = s.estimate_s * std::max(1.0, left * s.cpus / std::max(1.0, team->cpus_max));
+    double at_once = s.kind == JobKind::array ? left * team->amount(s.cpus, s.gpus) : 0;
+    double shortest = s.estimate_s * std::max(1.0, at_once / std::max(1.0, team->limit()));
     for (const auto& o : facts_.objectives) {
         if (o.job_class != job.spec.job_class) {
             continue;
@@ -637,12 +651,13 @@
             return std::tie(a->spec.priority, a->due, a->spec.id) <
                    std::tie(b->spec.priority, b->due, b->spec.id);
         });
-        double cpus = std::max(1.0, teams_.expected_cpus(team));
+        const TeamFacts& facts = *teams_.facts(team);
+        double slots = std::max(1.0, teams_.expected(team));
         std::set<std::tuple<double, std::string, Job*>>
             taken; // by work, so that the largest is last
         double busy = 0;
         for (Job* job : jobs) {
-            double work = left_cpu_s(*job) / cpus;
+            double work = left_s(*job) * facts.amount(job->spec.cpus, job->spec.gpus) / slots;
             busy += work;
             taken.insert({work, job->spec.id, job});
             while (busy > kHopeless * (job->due - now) && !taken.empty()) {
@@ -698,18 +713,18 @@
 // A team whose work takes longer at the team's limit than all work takes on all machines decides
 // when everything is over: each moment that it runs below its limit is added to the end.
 void PartOwner::find_longest(Time now) {
-    std::map<std::string, double> left;
+    std::map<std::string, double> left; // in the team's own measure
     for (const auto& [id, job] : jobs_.all()) {
-        if (job->open()) {
-            left[job->spec.team] += left_cpu_s(*job);
+        const TeamFacts* f = teams_.facts(job->spec.team);
+        if (job->open() && f) {
+            left[f->name] += left_s(*job) * f->amount(job->spec.cpus, job->spec.gpus);
         }
     }
     Totals all = totals(now);
-    double together = all.demand.left_cpu_s / std::max(1.0, all.ordinary_cpus + all.spot_cpus);
+    double together = all.demand.left_slot_s / std::max(1.0, all.ordinary_slots + all.spot_slots);
     longest_.clear();
-    for (const auto& [team, cpu_s] : left) {
-        const TeamFacts* f = teams_.facts(team);
-        if (f && cpu_s > std::max(together, facts_.report_s) * f->cpus_max) {
+    for (const auto& [team, work] : left) {
+        if (work > std::max(together, facts_.report_s) * teams_.facts(team)->limit()) {
             longest_.insert(team);
         }
     }
@@ -1070,8 +1085,10 @@
     // Per team: what runs, and what must run to have the waiting work done within the horizon,
     // up to the team's limit.
     struct Need {
-        double ordinary = 0;
+        double ordinary = 0; // slots
         double any = 0;
+        double cpus = 0;
+        double gpus = 0;
     };
     std::map<std::string, Need> needs;
     double left = 0;
@@ -1080,26 +1097,33 @@
         if (!job->open() || types_.empty()) {
             continue;
         }
-        const MachineType& t = types_.front();
-        double cpus = slots_needed(t, s.cpus, s.ram_gb);
+        const MachineType& t = usual_type(s);
+        double slots = slots_needed(t, s.cpus, s.gpus, s.ram_gb);
         double horizon = policy_.rent_horizon_s * t.boot_s;
         double waiting = static_cast<double>(job->waiting.size());
         double pace =
             s.kind == JobKind::service ? 1 : std::min(1.0, std::max(s.estimate_s, 1.0) / horizon);
         // A task longer than the horizon needs a place of its own.
-        double want = (job->placed + std::ceil(waiting * pace)) * cpus;
-        (s.spot ? needs[s.team].any : needs[s.team].ordinary) += want;
-        left += left_cpu_s(*job);
+        double tasks = job->placed + std::ceil(waiting * pace);
+        Need& need = needs[s.team];
+        (s.spot ? need.any : need.ordinary) += tasks * slots;
+        need.cpus += tasks * s.cpus;
+        need.gpus += tasks * s.gpus;
+        left += left_s(*job) * slots;
     }
     Demand d;
-    d.left_cpu_s = left;
+    d.left_slot_s = left;
     for (auto& [team, need] : needs) {
         const TeamFacts* f = teams_.facts(team);
-        double most = f ? f->cpus_max : 0;
-        double total = need.ordinary + need.any;
-        double cut = total > most && total > 0 ? most / total : 1;
-        d.ordinary_cpus += need.ordinary * cut;
-        d.any_cpus += need.any * cut;
+        double cut = 1;
+        if (f && f->cpus_max > 0 && need.cpus > f->cpus_max) {
+            cut = f->cpus_max / need.cpus;
+        }
+        if (f && f->gpus_max > 0 && need.gpus > f->gpus_max) {
+            cut = std::min(cut, f->gpus_max / need.gpus);
+        }
+        d.ordinary_slots += need.ordinary * cut;
+        d.any_slots += need.any * cut;
     }
     return d;
 }
@@ -1114,7 +1138,7 @@
     for (const auto& [name, m] : machines_.all()) {
         ++effort_;
         if (fleet_.usable(now, m)) {
-            ++(m.spot ? standing_.fleet.spot : standing_.fleet.ordinary);
+            (m.spot ? standing_.fleet.spot : standing_.fleet.ordinary) += m.type.slots();
         }
     }
     return standing_;
@@ -1125,22 +1149,21 @@
     const Standing& own = standing(now);
     sum.demand = own.demand;
     sum.heard = true;
-    double cpus = types_.empty() ? 0 : types_.front().cpus;
-    std::size_t ordinary = own.fleet.ordinary;
-    std::size_t spot = own.fleet.spot;
+    sum.ordinary_slots = own.fleet.ordinary;
+    sum.spot_slots = own.fleet.spot;
     for (const auto& [part, peer] : peers_) {
-        sum.demand.ordinary_cpus += peer.demand.ordinary_cpus;
-        sum.demand.any_cpus += peer.demand.any_cpus;
-        sum.demand.left_cpu_s += peer.demand.left_cpu_s;
+        sum.demand.ordinary_slots += peer.demand.ordinary_slots;
+        sum.demand.any_slots += peer.demand.any_slots;
+        sum.demand.left_slot_s += peer.demand.left_slot_s;
         sum.heard = sum.heard && now - peer.heard_at < facts_.report_s;
-        ordinary += peer.fleet.ordinary;
-        spot += peer.fleet.spot;
+        sum.ordinary_slots += peer.fleet.ordinary;
+        sum.spot_slots += peer.fleet.spot;
     }
     for (const auto& [name, bought] : bought_) {
-        ++(bought.first.spot ? spot : ordinary);
+        if (const MachineType* t = type(bought.first.type)) {
+            (bought.first.spot ? sum.spot_slots : sum.ordinary_slots) += t->slots();
+        }
     }
-    sum.ordinary_cpus = cpus * static_cast<double>(ordinary);
-    sum.spot_cpus = cpus * static_cast<double>(spot);
     return sum;
 }
 
@@ -1155,12 +1178,13 @@
     bool heard = std::all_of(peers_.begin(), peers_.end(),
                              [](const auto& p) { return p.second.job_term > 0; });
     if (part_ == kBuyer && (heard || now - since_ > facts_.lease_s)) {
-        std::map<std::string, int> in_zone;
+        std::map<std::string, double> in_zone; // slots
         for (const auto& [name, m] : machines_.all()) {
-            ++in_zone[m.zone];
+            in_zone[m.zone] += m.type.slots();
         }
         for (const auto& [name, bought] : bought_) {
-            ++in_zone[bought.first.zone];
+            const MachineType* t = type(bought.first.type);
+            in_zone[bought.first.zone] += t ? t->slots() : 0;
         }
         for (const Rent& rent : fleet_.rent(now, sum, types_, in_zone)) {
             calls_.log(Level::info, "event=rent order=" + rent.order + " zone=" + rent.zone +
@@ -1306,22 +1330,29 @@
     double fetching = 0;
     double sent = 0;
     double idle = 0;
+    double gathering = 0;
     double closed = 0; // on machines that take nothing
     int up = 0;
+    auto taken = [](const MachineType& t, const Placement& p) {
+        return t.gpus > 0 ? p.gpus : p.cpus;
+    };
     for (const auto& [name, m] : machines_.all()) {
         if (!m.reported) {
             continue;
         }
         ++up;
-        total += m.type.cpus;
+        total += m.type.slots();
         for (const auto& [task, p] : m.tasks) {
             bool listed = p.via == Placement::Via::listed;
-            (!listed ? sent : p.stage == TaskStage::fetching ? fetching : running) += p.cpus;
+            (!listed                            ? sent
+             : p.stage == TaskStage::fetching ? fetching
+             : p.stage == TaskStage::waiting  ? gathering
+                                              : running) += taken(m.type, p);
         }
         for (const auto& [attempt, lot] : m.lots) {
-            sent += lot.shape.cpus;
+            sent += taken(m.type, lot.shape);
         }
-        (may_place(m) ? idle : closed) += m.free_cpus();
+        (may_place(m) ? idle : closed) += m.free_slots();
     }
     std::size_t waiting = 0;
     for (const auto& [id, job] : jobs_.all()) {
@@ -1332,17 +1363,17 @@
     }
     auto count = [](double d) { return std::to_string(std::llround(d)); };
     calls_.log(Level::info, "event=part_stats part=" + std::to_string(part_) +
-                                " machines=" + std::to_string(up) + " cpus=" + count(total) +
-                                " running=" + count(running) + " fetching=" + count(fetching) +
+                                " machines=" + std::to_string(up) + " slots=" + count(total) +
+                                " running=" + count(running) + " fetching=" + count(fetching) + " gathering=" + count(gathering) +
                                 " sent=" + count(sent) + " idle=" + count(idle) + " closed=" +
                                 count(closed) + " jobs=" + std::to_string(jobs_.all().size()) +
                                 " waiting=" + std::to_string(waiting));
     if (part_ == kBuyer) {
         Totals all = totals(now);
         calls_.log(Level::info,
-                   "event=fleet_stats wants_ordinary=" + count(all.demand.ordinary_cpus) +
-                       " wants_any=" + count(all.demand.any_cpus) + " has_ordinary=" +
-                       count(all.ordinary_cpus) + " has_spot=" + count(all.spot_cpus));
+                   "event=fleet_stats wants_ordinary=" + count(all.demand.ordinary_slots) +
+                       " wants_any=" + count(all.demand.any_slots) + " has_ordinary=" +
+                       count(all.ordinary_slots) + " has_spot=" + count(all.spot_slots));
     }
 }
 
--- a/src/core/part_owner.h
+++ b/src/core/part_owner.h
@@ -162,6 +162,7 @@
     void release(Time now, std::vector<std::string> names);
     Demand demand(Time now) const;
     const MachineType* type(const std::string& name) const;
+    const MachineType& usual_type(const JobSpec& spec) const;
     std::string roster_prefix() const;
     std::string roster_key(const std::string& machine) const;
 
--- a/src/core/parts.cpp
+++ b/src/core/parts.cpp
@@ -44,8 +44,22 @@
     for (const auto& t : facts.teams) {
         teams.push_back(&t);
     }
-    std::sort(teams.begin(), teams.end(), [](const TeamFacts* a, const TeamFacts* b) {
-        return std::tie(b->cpus, a->name) < std::tie(a->cpus, b->name);
+    double cpus = 0;
+    double gpus = 0;
+    for (const auto* t : teams) {
+        cpus += t->cpus;
+        gpus += t->gpus;
+    }
+    // What a team is guaranteed of all that is; a little more, so that teams without a guarantee
+    // are spread as well.
+    auto share = [&](const TeamFacts& t) {
+        return t.cpus / std::max(1.0, cpus) + t.gpus / std::max(1.0, gpus) +
+               1 / std::max(1.0, cpus + gpus);
+    };
+    std::sort(teams.begin(), teams.end(), [&](const TeamFacts* a, const TeamFacts* b) {
+        double of_a = share(*a);
+        double of_b = share(*b);
+        return std::tie(of_b, a->name) < std::tie(of_a, b->name);
     });
     std::vector<double> load(std::max<std::size_t>(1, facts.parts.size()), 0);
     for (const auto* t : teams) { // the largest first, each to the part with the least so far
@@ -53,7 +67,7 @@
         if (t->name == team) {
             return static_cast<int>(least - load.begin());
         }
-        *least += t->cpus + 1;
+        *least += share(*t);
     }
     return -1;
 }
--- a/src/core/parts.h
+++ b/src/core/parts.h
@@ -8,7 +8,7 @@
 // Rendezvous hash of the machine's name among the parts whose home node is in its zone; among
 // all parts where the zone has none.
 int part_of_machine(const Facts& facts, const std::string& machine, const std::string& zone);
-// Teams are spread over the parts by their guaranteed CPUs; -1: unknown team.
+// Teams are spread over the parts by their guaranteed share of CPUs and GPUs; -1: unknown team.
 int part_of_team(const Facts& facts, const std::string& team);
 inline std::string part_key(int part) { return "part/" + std::to_string(part); }
 
--- a/src/core/slot_lists.h
+++ b/src/core/slot_lists.h
@@ -14,13 +14,16 @@
     auto operator<=>(const SlotKind&) const = default;
 };
 
-// A slot is one CPU with its share of the machine's memory.
-int slots_needed(const MachineType& type, double cpus, double ram_gb);
-int slots_idle(double free_cpus, double free_ram_gb, const MachineType& type);
+// How many slots of such a machine a task takes up, by what it needs most of.
+int slots_needed(const MachineType& type, double cpus, double gpus, double ram_gb);
+// From which list a task may be served. GPU machines are listed by idle GPUs alone, so that tasks of
+// uneven shape still share one; a task that wants none is served from the list of 0 as well.
+int slots_listed(const MachineType& type, double cpus, double gpus, double ram_gb);
+int slots_idle(double free_cpus, double free_gpus, double free_ram_gb, const MachineType& type);
 
 class SlotLists {
   public:
-    // Lists the machine under `slots` idle slots; 0 or less takes it off.
+    // Lists the machine under `slots` idle slots; below 0 takes it off.
     void set(const SlotKind& kind, const std::string& machine, int slots);
     void remove(const std::string& machine);
     bool empty() const { return where_.empty(); }
--- a/src/core/teams.cpp
+++ b/src/core/teams.cpp
@@ -1,6 +1,7 @@
 #include "core/teams.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace orchidlanding {
 
@@ -8,6 +9,21 @@
 constexpr double kRounding = 1e-6;
 }
 
+bool TeamFacts::allows(double used_cpus, double used_gpus) const {
+    return (cpus_max <= 0 || used_cpus <= cpus_max + kRounding) &&
+           (gpus_max <= 0 || used_gpus <= gpus_max + kRounding);
+}
+
+bool TeamFacts::guarantees(double used_cpus, double used_gpus) const {
+    return (!states_cpus() || used_cpus <= cpus + kRounding) &&
+           (!states_gpus() || used_gpus <= gpus + kRounding);
+}
+
+double TeamFacts::limit() const {
+    double most = states_gpus() ? gpus_max : cpus_max;
+    return most > 0 ? most : std::numeric_limits<double>::infinity();
+}
+
 Teams::Teams(const std::vector<TeamFacts>& facts) {
     for (const auto& f : facts) {
         teams_[f.name].facts = f;
@@ -25,8 +41,7 @@
         return false;
     }
     const Team& t = it->second;
-    return t.cpus + cpus <= t.facts.cpus_max + kRounding &&
-           t.gpus + gpus <= t.facts.gpus_max + kRounding;
+    return t.facts.allows(t.cpus + cpus, t.gpus + gpus);
 }
 
 bool Teams::within_guarantee(const std::string& team, double cpus, double gpus) const {
@@ -35,12 +50,16 @@
         return false;
     }
     const Team& t = it->second;
-    return t.cpus + cpus <= t.facts.cpus + kRounding && t.gpus + gpus <= t.facts.gpus + kRounding;
+    return t.facts.guarantees(t.cpus + cpus, t.gpus + gpus);
 }
 
-double Teams::expected_cpus(const std::string& team) const {
+double Teams::expected(const std::string& team) const {
     auto it = teams_.find(team);
-    return it == teams_.end() ? 0 : std::max(it->second.cpus, it->second.facts.cpus);
+    if (it == teams_.end()) {
+        return 0;
+    }
+    const Team& t = it->second;
+    return std::max(t.facts.amount(t.cpus, t.gpus), t.facts.amount(t.facts.cpus, t.facts.gpus));
 }
 
 void Teams::use(const std::string& team, double cpus, double gpus) {
--- a/src/core/teams.h
+++ b/src/core/teams.h
@@ -12,8 +12,8 @@
     const TeamFacts* facts(const std::string& team) const;
     bool fits(const std::string& team, double cpus, double gpus) const;
     bool within_guarantee(const std::string& team, double cpus, double gpus) const;
-    // What the team can count on: its guarantee, or what it has beyond that now.
-    double expected_cpus(const std::string& team) const;
+    // What the team can count on, in its own measure: its guarantee, or what it has beyond that.
+    double expected(const std::string& team) const;
     void use(const std::string& team, double cpus, double gpus);
     void free(const std::string& team, double cpus, double gpus);
 
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -94,6 +94,11 @@
     double spot_price = 0;
     double boot_s = 0;
     std::vector<std::string> zones;
+
+    // A slot is the scarcest unit with its share of the rest: one GPU on a machine that has some,
+    // one CPU elsewhere.
+    double slots() const { return gpus > 0 ? gpus : cpus; }
+    double price_of(bool spot_kind) const { return spot_kind ? spot_price : price; }
 };
 
 enum class HostStage { booting, running, failed };
@@ -144,6 +149,18 @@
     double cpus_max = 0;
     double gpus = 0;
     double gpus_max = 0;
+
+    // A 0 in the settings means none: what a team states neither of is not its measure, and a limit
+    // of 0 is no limit.
+    bool states_cpus() const { return cpus > 0 || cpus_max > 0; }
+    bool states_gpus() const { return gpus > 0 || gpus_max > 0; }
+    bool allows(double used_cpus, double used_gpus) const;
+    bool guarantees(double used_cpus, double used_gpus) const;
+    // What the team's work is reckoned in: GPUs where it states some, else CPUs.
+    double amount(double of_cpus, double of_gpus) const {
+        return states_gpus() ? of_gpus : of_cpus;
+    }
+    double limit() const; // of that amount
 };
 
 // What is expected for a class of jobs.
--- a/src/core/user_desk.cpp
+++ b/src/core/user_desk.cpp
@@ -25,7 +25,7 @@
         return "unknown team";
     }
     double times = s.kind == JobKind::array ? 1 : s.tasks;
-    if (s.cpus * times > team->cpus_max || s.gpus * times > team->gpus_max) {
+    if (!team->allows(s.cpus * times, s.gpus * times)) {
         return "over the team's limit";
     }
     bool fits = std::any_of(types.begin(), types.end(), [&](const MachineType& t) {
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -462,21 +462,20 @@
 constexpr std::array<std::string_view, 4> kTolds{"stop", "clear", "shape", "back"};
 
 void pack_standing(Packer& p, const Demand& demand, const FleetView& fleet) {
-    field(p, "ordinary_cpus", demand.ordinary_cpus);
-    field(p, "any_cpus", demand.any_cpus);
-    field(p, "left_cpu_s", demand.left_cpu_s);
+    field(p, "ordinary_slots", demand.ordinary_slots);
+    field(p, "any_slots", demand.any_slots);
+    field(p, "left_slot_s", demand.left_slot_s);
     field(p, "ordinary", fleet.ordinary);
     field(p, "spot", fleet.spot);
 }
 constexpr std::uint32_t kStandingFields = 5;
 
 Demand demand_of(const Fields& f) {
-    return {f.amount("ordinary_cpus"), f.amount("any_cpus"), f.amount("left_cpu_s")};
+    return {f.amount("ordinary_slots"), f.amount("any_slots"), f.amount("left_slot_s")};
 }
 
 FleetView fleet_of(const Fields& f) {
-    return {static_cast<std::uint32_t>(f.integer("ordinary")),
-            static_cast<std::uint32_t>(f.integer("spot"))};
+    return {f.amount("ordinary"), f.amount("spot")};
 }
 
 std::vector<std::string> names_of(const Fields& f, const char* name) {
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -318,9 +318,9 @@
 
 TEST(Slots, AreCountedByCpuAndMemoryAndFoundFewestFirst) {
     MachineType t{"m8", 8, 0, 32, 0, 0, 0, 0, 0, {}};
-    EXPECT_EQ(slots_needed(t, 2, 4), 2);
-    EXPECT_EQ(slots_needed(t, 2, 13), 4);
-    EXPECT_EQ(slots_idle(8, 10, t), 2);
+    EXPECT_EQ(slots_needed(t, 2, 0, 4), 2);
+    EXPECT_EQ(slots_needed(t, 2, 0, 13), 4);
+    EXPECT_EQ(slots_idle(8, 0, 10, t), 2);
     SlotLists lists;
     SlotKind kind{"m8", false};
     lists.set(kind, "a", 8);
