--- a/src/cli/settings.cpp
+++ b/src/cli/settings.cpp
@@ -160,6 +160,8 @@
     s.facts.report_s = r.positive("facts.workers.report_s");
     s.facts.lease_s = r.positive("facts.workers.lease_s");
     s.facts.cancel_s = r.positive("facts.workers.cancel_s");
+    s.facts.gang_wait_s = r.positive("facts.workers.gang_wait_s");
+    s.facts.gang_peer_s = r.positive("facts.workers.gang_peer_s");
     s.facts.state_rps = r.positive("facts.state.rps");
     s.facts.state_write_rps = r.positive("facts.state.write_rps");
     s.facts.value_kb = r.positive("facts.state.value_kb");
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -163,7 +163,7 @@
             if (m.trimming && have < want) {
                 have += m.type.slots();
                 changes.push_back(name);
-            } else if (usable(now, m)) {
+            } else if (usable(now, m) && !m.has_service()) {
                 own += m.type.slots();
                 usables.emplace_back(-m.free_slots() / m.type.slots(), &m);
             }
--- a/src/core/io.h
+++ b/src/core/io.h
@@ -35,6 +35,13 @@
 // changed since the reply that the caller has seen.
 struct Want { // slots wanted for waiting tasks of one job
     std::string job;
+    JobKind kind = JobKind::array;
+    std::uint64_t attempt = 0;          // a gang's ...
+    std::vector<std::uint32_t> members; // ... and for which of its tasks: all of them or none
+    bool one_zone = false;
+    bool spread = false;
+    std::uint32_t gang_tasks = 0; // of the whole gang
+    bool partial = false;         // as many as there are: other owners are asked for the rest
     std::uint32_t count = 0;
     double cpus = 0;
     double gpus = 0;
@@ -54,7 +61,9 @@
     enum class What { stop, clear, shape, back }; // back: no start was sent to these slots
     What what = What::stop;
     std::string machine;
-    std::uint64_t attempt = 0;
+    StartId id;
+    double grace_s = 0; // stop
+    JobKind kind = JobKind::array;
     double cpus = 0;
     double gpus = 0;
     double ram_gb = 0;
@@ -95,10 +104,11 @@
     std::string machine;
     std::string zone;
     bool shape_unknown = false;
-    bool draining = false; // its machine is to go
+    bool draining = false; // its machine is to go ...
+    bool notice = false;   // ... and the cloud has said so
 };
 struct Grant { // slots handed over, struck from their owner's list
-    std::uint64_t attempt = 0;
+    StartId id;
     std::string job;
     std::string machine;
     std::string endpoint;
@@ -121,7 +131,7 @@
     Demand demand;
     FleetView fleet;
     std::vector<HeldTask> held;
-    std::vector<std::uint64_t> open; // slots handed over whose start has not shown yet
+    std::vector<StartId> open; // slots handed over whose start has not shown yet
     std::vector<Grant> grants;
 };
 struct PeerExchange {
--- a/src/core/machine_table.cpp
+++ b/src/core/machine_table.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/authority.h"
+#include "core/parts.h"
 
 namespace orchidlanding {
 
@@ -49,6 +50,13 @@
                        [](const auto& t) { return t.second.shape_unknown; });
 }
 
+bool Machine::has_service() const {
+    return std::any_of(tasks.begin(), tasks.end(),
+                       [](const auto& t) { return t.second.kind == JobKind::service; }) ||
+           std::any_of(lots.begin(), lots.end(),
+                       [](const auto& l) { return l.second.shape.kind == JobKind::service; });
+}
+
 bool Machine::holds_exited(const TaskRef& task) const {
     auto same = [&](const ListedTask& t) { return t.task == task; };
     return std::any_of(finished.begin(), finished.end(), same) ||
@@ -72,19 +80,18 @@
     if (stop_guests.empty() && clear_guests.empty()) {
         return;
     }
-    std::set<std::uint64_t> here;
+    std::set<StartId> here;
     for (const auto& t : finished) {
-        here.insert(t.attempt);
+        here.insert(start_id(t.attempt, t.task.index));
     }
     for (const auto& [task, p] : tasks) {
-        here.insert(p.attempt);
+        here.insert(start_id(p.attempt, task.index));
     }
-    for (const auto& [attempt, lot] : lots) { // the start may be on its way
-        here.insert(attempt);
-    }
-    for (auto* told : {&stop_guests, &clear_guests}) {
-        std::erase_if(*told, [&](std::uint64_t attempt) { return !here.contains(attempt); });
+    for (const auto& [id, lot] : lots) { // the start may be on its way
+        here.insert(id);
     }
+    std::erase_if(stop_guests, [&](const auto& stop) { return !here.contains(stop.first); });
+    std::erase_if(clear_guests, [&](const StartId& id) { return !here.contains(id); });
 }
 
 bool Machine::has_foreign() const {
@@ -160,7 +167,7 @@
     std::map<TaskRef, const ListedTask*> listed;
     if (newer) {
         for (const auto& t : report.tasks) {
-            if (auto lot = m.lots.find(t.attempt);
+            if (auto lot = m.lots.find(start_id(t.attempt, t.task.index));
                 lot != m.lots.end() && !m.tasks.contains(t.task)) {
                 m.tasks[t.task] = lot->second.shape; // the thief's start has shown
                 m.lots.erase(lot);
@@ -285,9 +292,11 @@
     std::vector<Command> commands = std::move(m.outbox);
     m.outbox.clear();
     for (const auto& c : commands) {
-        Placement& p = m.tasks.at(c.task);
-        p.via = Placement::Via::response;
-        p.tick = m.tick;
+        if (c.op == Op::start) {
+            Placement& p = m.tasks.at(c.task);
+            p.via = Placement::Via::response;
+            p.tick = m.tick;
+        }
     }
     return commands;
 }
@@ -296,9 +305,11 @@
     std::vector<Command> commands = std::move(m.outbox);
     m.outbox.clear();
     for (const auto& c : commands) {
-        Placement& p = m.tasks.at(c.task);
-        p.via = Placement::Via::orders;
-        p.token = token;
+        if (c.op == Op::start) {
+            Placement& p = m.tasks.at(c.task);
+            p.via = Placement::Via::orders;
+            p.token = token;
+        }
     }
     return commands;
 }
@@ -306,15 +317,25 @@
 void MachineTable::sent_directly(Machine& m, const std::vector<Command>& commands, CallId call) {
     m.orders = call;
     for (const auto& c : commands) {
-        m.tasks.at(c.task).call = call;
+        if (c.op == Op::start) {
+            m.tasks.at(c.task).call = call;
+        }
     }
 }
 
-std::vector<ListingResult::Gone> MachineTable::unqueue(Machine& m) {
+void MachineTable::queue_stop(Machine& m, const TaskRef& task, std::uint64_t attempt,
+                              double grace_s) {
+    m.outbox.push_back({Op::stop, task, attempt, grace_s});
+    queued_.insert(m.name);
+}
+
+std::vector<ListingResult::Gone> MachineTable::unqueue(Machine& m, const std::string* job) {
     std::vector<ListingResult::Gone> gone;
-    m.outbox.clear();
+    std::erase_if(m.outbox, [&](const Command& c) {
+        return c.op == Op::start && (!job || c.task.job == *job);
+    });
     for (auto it = m.tasks.begin(); it != m.tasks.end();) {
-        if (it->second.via == Placement::Via::queued) {
+        if (it->second.via == Placement::Via::queued && (!job || it->first.job == *job)) {
             gone.push_back({it->first, it->second, ExitWhy::none});
             it = m.tasks.erase(it);
         } else {
--- a/src/core/machine_table.h
+++ b/src/core/machine_table.h
@@ -26,6 +26,7 @@
     Time since = 0;
     Time running_since = 0;
     std::string team;
+    JobKind kind = JobKind::array;
     double cpus = 0;
     double gpus = 0;
     double ram_gb = 0;
@@ -75,16 +76,16 @@
     int errors = 0; // failed tasks in a row
     CallId orders = 0;
     std::map<TaskRef, Placement> tasks;
-    std::map<std::uint64_t, Lot> lots; // by attempt: handed over, start not seen yet
+    std::map<StartId, Lot> lots; // handed over, start not seen yet
     std::vector<Command> outbox;
     std::vector<ListedTask> foreign;  // listed, not ours: they are stopped and cleared
     std::vector<ListedTask> finished; // exited, cleared once durable
     std::vector<CachedImage> images;  // most recently used last
-    // Guests, tasks of other parts' jobs: what the owners of these say, by attempt, until it shows.
-    std::set<std::uint64_t> stop_guests;
-    std::set<std::uint64_t> clear_guests; // their end is durable
-    std::uint64_t guests_print = 0;       // of the listing of guests, to see it change
-    std::uint64_t guests_version = 0;     // of that listing
+    // Guests, tasks of other parts' jobs: what the owners of these say, until it shows.
+    std::map<StartId, double> stop_guests; // with the time to save
+    std::set<StartId> clear_guests;        // their end is durable
+    std::uint64_t guests_print = 0;        // of the listing of guests, to see it change
+    std::uint64_t guests_version = 0;      // of that listing
 
     double free_cpus() const;
     double free_gpus() const;
@@ -93,6 +94,8 @@
     bool warm(const std::string& image) const;
     bool has_foreign() const;
     bool has_unknown_shape() const;
+    // Replicas run until they are cancelled, so such a machine does not empty by itself.
+    bool has_service() const;
     bool empty() const { return tasks.empty() && lots.empty(); }
     // An exited attempt of the task is listed still: another would be refused as busy.
     bool holds_exited(const TaskRef& task) const;
@@ -142,7 +145,10 @@
     std::vector<Command> send_in_response(Machine& machine);
     std::vector<Command> send_directly(Machine& machine, std::uint64_t token);
     void sent_directly(Machine& machine, const std::vector<Command>& commands, CallId call);
-    std::vector<ListingResult::Gone> unqueue(Machine& machine);
+    // Starts that are not out yet never go out: all of them, or those of one job.
+    std::vector<ListingResult::Gone> unqueue(Machine& machine, const std::string* job = nullptr);
+    // A stop that goes out directly; it is repeated in responses as long as the task is listed.
+    void queue_stop(Machine& machine, const TaskRef& task, std::uint64_t attempt, double grace_s);
     // The machines with commands that could go out directly now.
     std::vector<Machine*> to_send();
 
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -23,6 +23,7 @@
 // Work for more than this many times the time there is cannot be done by then, though estimates err
 // and a team may get more CPUs than it has now.
 constexpr double kHopeless = 1.5;
+constexpr double kStuckBoots = 1.5;
 constexpr double kProgressShare = 0.3;     // of the changes that the state service takes
 constexpr int kBuyer = 0;                  // the part whose owner rents for all
 constexpr std::size_t kMostCommands = 200; // keeps a response well under the 64 KiB allowed
@@ -32,7 +33,18 @@
     return static_cast<std::uint32_t>(std::max(64.0, facts.value_kb * 1024 * 0.75 * 4));
 }
 
-// Run time left of the job's tasks. Those that run are half done on the whole; replicas run for ever.
+// At most half of a job's tasks, rounded up, may be in one zone if it says so.
+bool may_spread(const JobSpec& s, std::uint32_t in_zone) {
+    return !s.spread || in_zone <= (s.tasks + 1) / 2;
+}
+
+std::uint32_t planned(const std::map<std::string, std::uint32_t>* plan, const std::string& where) {
+    auto it = plan ? plan->find(where) : decltype(plan->end()){};
+    return plan && it != plan->end() ? it->second : 0;
+}
+
+// Run time left of the job's tasks. Those that run are half done on the whole; replicas run for
+// ever.
 double left_s(const Job& job) {
     double tasks = static_cast<double>(job.waiting.size()) + 0.5 * job.placed;
     return job.spec.kind == JobKind::service ? 0 : tasks * job.spec.estimate_s;
@@ -49,7 +61,7 @@
     : part_(part), facts_(facts), policy_(policy), authority_(authority),
       calls_(budget, (authority.term(part) << 32) + 1), types_(types), term_(authority.term(part)),
       since_(now), jobs_(chunk_tasks(facts)), machines_(facts.lease_s, facts.lease_s * kMargin),
-      teams_(facts.teams), fleet_(facts, policy, authority.term(part)) {
+      teams_(facts.teams), gangs_(facts.gang_wait_s), fleet_(facts, policy, authority.term(part)) {
     for (int p = 0; p < static_cast<int>(facts_.parts.size()); ++p) {
         if (p != part_) {
             peers_[p].batch = policy_.steal_batch;
@@ -61,13 +73,12 @@
 // The cheapest type that such a task fits on, by which its slots are counted.
 const MachineType& PartOwner::usual_type(const JobSpec& s) const {
     auto cost = [&](const MachineType& t) {
-        bool fits = s.allows_type(t.name) && s.cpus <= t.cpus && s.gpus <= t.gpus &&
-                    s.ram_gb <= t.ram_gb;
+        bool fits =
+            s.allows_type(t.name) && s.cpus <= t.cpus && s.gpus <= t.gpus && s.ram_gb <= t.ram_gb;
         return std::pair(!fits, t.price * slots_needed(t, s.cpus, s.gpus, s.ram_gb) / t.slots());
     };
-    return *std::min_element(types_.begin(), types_.end(), [&](const auto& a, const auto& b) {
-        return cost(a) < cost(b);
-    });
+    return *std::min_element(types_.begin(), types_.end(),
+                             [&](const auto& a, const auto& b) { return cost(a) < cost(b); });
 }
 
 const MachineType* PartOwner::type(const std::string& name) const {
@@ -253,6 +264,13 @@
         for (const auto& id : ids) {
             forget_if_over(id);
         }
+        // An attempt of an owner before us goes on if it is whole, and is ended if not.
+        for (const auto& id : ids) {
+            const Job* job = jobs_.find(id);
+            if (job && job->open() && job->placed > 0 && !job->waiting.empty()) {
+                end_attempt(now, id, false);
+            }
+        }
         place(now);
         send_orders(now);
     }
@@ -345,6 +363,7 @@
     if (result.fresh) {
         adopt_listed(now, m);
     }
+    note_gangs(now, m);
     if (m.notice_s || m.errors >= policy_.sick_errors) {
         for (const auto& g : machines_.unqueue(m)) {
             gone(now, m.name, g);
@@ -410,6 +429,9 @@
             job->hold_until = now + facts_.report_s * std::pow(2.0, steps);
         }
     }
+    if (job->spec.kind == JobKind::gang) {
+        gang_task_gone(now, *job, why);
+    }
     forget_if_over(task.job);
     return counts;
 }
@@ -453,7 +475,8 @@
             } else {
                 m.foreign.push_back(t);
             }
-        } else if (waits) {
+        } else if (waits &&
+                   (job->spec.kind != JobKind::gang || gangs_.adopt(now, t.task.job, t.attempt))) {
             MachineTable::adopt(now, m, t, shape_of(job->spec));
             jobs_.place(*job, t.task.index, m.zone);
             teams_.use(job->spec.team, job->spec.cpus, job->spec.gpus);
@@ -472,6 +495,7 @@
 Placement PartOwner::shape_of(const JobSpec& s) const {
     Placement p;
     p.team = s.team;
+    p.kind = s.kind;
     p.cpus = s.cpus;
     p.gpus = s.gpus;
     p.ram_gb = s.ram_gb;
@@ -488,7 +512,8 @@
     m.forget_told();
     for (const auto& t : m.finished) {
         bool guest = part_of_attempt(t.attempt) != part_;
-        bool durable = guest ? m.clear_guests.contains(t.attempt) : end_is_durable(t);
+        bool durable =
+            guest ? m.clear_guests.contains(start_id(t.attempt, t.task.index)) : end_is_durable(t);
         if (durable && out.size() < kMostCommands) {
             out.push_back({Op::clear, t.task, t.attempt, 0});
         }
@@ -505,15 +530,27 @@
     }
     for (const auto& [task, p] : m.tasks) {
         Job* job = jobs_.find(task.job);
-        bool over = !job || !job->open();
+        bool stop = !job || !job->open();
+        double grace_s = 0;
         if (part_of_attempt(p.attempt) != part_) {
-            over = m.stop_guests.contains(p.attempt) ||
-                   jobs_.final_outcome(task.job) == Outcome::cancelled;
+            auto told = m.stop_guests.find(start_id(p.attempt, task.index));
+            stop = told != m.stop_guests.end();
+            grace_s = stop ? told->second : 0;
+            if (jobs_.final_outcome(task.job) == Outcome::cancelled) {
+                stop = true;
+                grace_s = 0;
+            }
+        } else if (!stop && job->spec.kind == JobKind::service) {
+            // Replicas move off a machine that is to go; a task of an array may end there.
+            stop = m.draining || m.trimming;
+            grace_s = job->spec.save_s;
+        } else if (!stop && job->spec.kind == JobKind::gang) {
+            const Gangs::Attempt* attempt = gangs_.find(task.job);
+            stop = attempt && attempt->ending;
+            grace_s = stop && attempt->saves ? kSaveTimes * job->spec.save_s : 0;
         }
-        // Replicas move off a machine that is to go; a task of an array may end there.
-        bool moves = (m.draining || m.trimming) && job && job->spec.kind == JobKind::service;
-        if ((over || moves) && p.via == Placement::Via::listed && out.size() < kMostCommands) {
-            out.push_back({Op::stop, task, p.attempt, over ? 0 : job->spec.save_s});
+        if (stop && p.via == Placement::Via::listed && out.size() < kMostCommands) {
+            out.push_back({Op::stop, task, p.attempt, grace_s});
         }
     }
 }
@@ -533,7 +570,7 @@
     note_guests(m.name, &m);
 }
 
-bool PartOwner::zone_allowed(const Job& job, const std::string& zone) const {
+bool PartOwner::zone_allowed(const Job& job, const std::string& zone, std::uint32_t more) const {
     const JobSpec& s = job.spec;
     if (s.zone && *s.zone != zone) {
         return false;
@@ -544,9 +581,7 @@
     if (s.spread) {
         auto it = job.zone_use.find(zone);
         std::uint32_t there = it == job.zone_use.end() ? 0 : it->second;
-        if (there + 1 > (s.tasks + 1) / 2) {
-            return false;
-        }
+        return may_spread(s, there + more);
     }
     return true;
 }
@@ -554,7 +589,8 @@
 // The head of the first list that has enough idle slots for a task of this shape. `task` and
 // `job` are null when another part asks, whose owner checks the rest itself.
 const std::string* PartOwner::find_slots(bool spot, const JobSpec& s, const TaskRef* task,
-                                         const Job* job) const {
+                                         const Job* job, const GangPlan* plan,
+                                         const std::string& zone) const {
     // A machine that has the image before one that has to fetch it.
     for (bool warm : {true, false}) {
         for (const auto& t : types_) {
@@ -564,10 +600,14 @@
             auto fits = [&](const std::string& name) {
                 ++effort_;
                 const Machine& m = machines_.all().at(name);
-                bool allowed = job ? zone_allowed(*job, m.zone) : !s.zone || *s.zone == m.zone;
-                return allowed && m.orders == 0 && m.free_cpus() >= s.cpus &&
-                       m.free_ram() >= s.ram_gb && m.free_gpus() >= s.gpus &&
-                       (!warm || m.warm(s.image)) && !(task && m.holds_exited(*task));
+                double n = 1 + planned(plan ? &plan->on : nullptr, name);
+                std::uint32_t more = 1 + planned(plan ? &plan->in_zone : nullptr, m.zone);
+                bool allowed = job ? zone_allowed(*job, m.zone, more)
+                                   : (!s.zone || *s.zone == m.zone) && may_spread(s, more);
+                return allowed && (zone.empty() || zone == m.zone) && m.orders == 0 &&
+                       m.free_cpus() >= n * s.cpus && m.free_ram() >= n * s.ram_gb &&
+                       m.free_gpus() >= n * s.gpus && (!warm || m.warm(s.image)) &&
+                       !(task && m.holds_exited(*task));
             };
             const std::string* found =
                 slots_.pop({t.name, spot}, slots_listed(t, s.cpus, s.gpus, s.ram_gb), fits);
@@ -586,14 +626,15 @@
     if (!found) {
         return false;
     }
-    start_on(now, *machines_.find(*found), job, index);
+    start_on(now, *machines_.find(*found), job, index, new_attempt(part_, false));
     return true;
 }
 
-void PartOwner::start_on(Time now, Machine& m, Job& job, std::uint32_t index) {
+void PartOwner::start_on(Time now, Machine& m, Job& job, std::uint32_t index,
+                         std::uint64_t attempt) {
     const JobSpec& s = job.spec;
     Placement p = shape_of(s);
-    p.attempt = make_attempt(term_, next_attempt_++, part_);
+    p.attempt = attempt;
     machines_.queue_start(now, m, {s.id, index}, std::move(p));
     jobs_.place(job, index, m.zone);
     teams_.use(s.team, s.cpus, s.gpus);
@@ -630,7 +671,7 @@
 // one order: priority, guarantee before borrowing, what is due first, arrival.
 bool PartOwner::waits(Time now, const Job& job) const {
     return settled_ && job.open() && !job.waiting.empty() && now >= job.hold_until &&
-           job.spec.kind != JobKind::gang;
+           (job.spec.kind != JobKind::gang || gangs_.may_place(now, job));
 }
 
 // Gives each job its due time. Where a team cannot meet all of them with the CPUs it has, the job
@@ -639,6 +680,8 @@
 void PartOwner::plan(Time now) {
     std::map<std::string, std::vector<Job*>> by_team;
     for (const auto& [id, job] : jobs_.all()) {
+        bool idle = !job->open() || job->waiting.empty();
+        job->waits_since = idle ? 0 : job->waits_since > 0 ? job->waits_since : now;
         if (job->open()) {
             job->due = due(now, *job);
             if (job->due < late(*job)) {
@@ -753,7 +796,9 @@
         }
         if (c.want) {
             Shape shape{c.want->cpus, c.want->gpus, c.want->ram_gb};
-            if (!full.contains(shape)) {
+            if (c.want->kind == JobKind::gang) {
+                lend_gang(now, spot, c.thief, *c.want);
+            } else if (!full.contains(shape)) {
                 hand_over(now, spot, c.thief, *c.want);
             }
             continue;
@@ -761,6 +806,10 @@
         const JobSpec& s = c.job->spec;
         bool plain = !s.types && !s.zone && !s.one_zone && !s.spread;
         Shape shape{s.cpus, s.gpus, s.ram_gb};
+        if (s.kind == JobKind::gang) {
+            place_gang(now, spot, *c.job);
+            continue;
+        }
         if (plain && full.contains(shape)) {
             continue; // no slot for its like a moment ago, so none now
         }
@@ -800,6 +849,7 @@
         return;
     }
     refresh_order(now);
+    std::set<const Candidate*> lacking; // gangs for which this machine is not enough
     auto best_of = [&](bool spot_jobs) {
         const Candidate* best = nullptr;
         Time best_due = 0;
@@ -810,7 +860,8 @@
                          c.due >= best_due)) {
                 break; // no warm image makes up for that
             }
-            if ((c.want ? c.want->spot : c.job->spec.spot) != spot_jobs || !suits(now, m, c)) {
+            if ((c.want ? c.want->spot : c.job->spec.spot) != spot_jobs || lacking.contains(&c) ||
+                !suits(now, m, c)) {
                 continue;
             }
             const std::string& image = c.want ? c.want->image : c.job->spec.image;
@@ -830,10 +881,17 @@
             continue;
         }
         while (const Candidate* c = best_of(spot_jobs)) {
-            if (c->want) {
+            bool gang = (c->want ? c->want->kind : c->job->spec.kind) == JobKind::gang;
+            if (gang) {
+                bool placed = c->want ? lend_gang(now, m.spot, c->thief, *c->want)
+                                      : place_gang(now, m.spot, *c->job);
+                if (!placed) {
+                    lacking.insert(c);
+                }
+            } else if (c->want) {
                 lend(now, m, c->thief, *c->want);
             } else {
-                start_on(now, m, *c->job, *c->job->waiting.begin());
+                start_on(now, m, *c->job, *c->job->waiting.begin(), new_attempt(part_, false));
             }
         }
     }
@@ -1039,26 +1097,17 @@
             for (const auto& [machine, tasks] : peer.tasks) {
                 for (auto it = tasks.lower_bound({id, 0}); it != tasks.end() && it->job == id;
                      ++it) {
-                    std::uint64_t attempt = remote_.at(*it).attempt;
-                    peer.told[attempt] = {Told::What::stop, machine, attempt};
-                    peer.next = 0;
+                    tell(peer,
+                         {Told::What::stop, machine, start_id(remote_.at(*it).attempt, it->index)});
                 }
             }
         }
         for (auto& [name, m] : machines_.all()) { // starts that are not out yet never go out
-            std::erase_if(m.outbox, [&](const Command& c) { return c.task.job == id; });
-            for (auto it = m.tasks.begin(); it != m.tasks.end();) {
-                if (it->first.job == id && it->second.via == Placement::Via::queued) {
-                    ListingResult::Gone g{it->first, it->second, ExitWhy::none};
-                    it = m.tasks.erase(it);
-                    Job* job = jobs_.find(id);
-                    teams_.free(g.placement.team, g.placement.cpus, g.placement.gpus);
-                    jobs_.unplace(*job, g.task.index, m.zone);
-                } else {
-                    ++it;
-                }
+            for (const auto& g : machines_.unqueue(m, &id)) {
+                teams_.free(g.placement.team, g.placement.cpus, g.placement.gpus);
+                jobs_.unplace(*jobs_.find(id), g.task.index, m.zone);
+                relist(m);
             }
-            relist(m);
         }
     }
     forget_if_over(id);
@@ -1068,6 +1117,7 @@
 void PartOwner::drop_job(const std::string& id) {
     order_.clear();
     order_stale_ = true;
+    gangs_.gone(id);
     jobs_.drop(id);
 }
 
@@ -1081,7 +1131,7 @@
 
 // ---- The cloud ----
 
-Demand PartOwner::demand(Time) const {
+Demand PartOwner::demand(Time now) const {
     // Per team: what runs, and what must run to have the waiting work done within the horizon,
     // up to the team's limit.
     struct Need {
@@ -1090,6 +1140,7 @@
         double cpus = 0;
         double gpus = 0;
     };
+    Demand d;
     std::map<std::string, Need> needs;
     double left = 0;
     for (const auto& [id, job] : jobs_.all()) {
@@ -1104,6 +1155,12 @@
         double pace =
             s.kind == JobKind::service ? 1 : std::min(1.0, std::max(s.estimate_s, 1.0) / horizon);
         // A task longer than the horizon needs a place of its own.
+        bool bound = s.kind == JobKind::gang || s.one_zone || s.spread || s.zone;
+        if (bound && job->waits_since > 0 && now - job->waits_since > kStuckBoots * t.boot_s) {
+            // New machines would be there by now: there is room, but not where it is needed. So
+            // as much again is wanted, whatever the team's limit makes of the rest.
+            (s.spot ? d.any_slots : d.ordinary_slots) += waiting * slots;
+        }
         double tasks = job->placed + std::ceil(waiting * pace);
         Need& need = needs[s.team];
         (s.spot ? need.any : need.ordinary) += tasks * slots;
@@ -1111,7 +1168,6 @@
         need.gpus += tasks * s.gpus;
         left += left_s(*job) * slots;
     }
-    Demand d;
     d.left_slot_s = left;
     for (auto& [team, need] : needs) {
         const TeamFacts* f = teams_.facts(team);
@@ -1344,7 +1400,7 @@
         total += m.type.slots();
         for (const auto& [task, p] : m.tasks) {
             bool listed = p.via == Placement::Via::listed;
-            (!listed                            ? sent
+            (!listed                          ? sent
              : p.stage == TaskStage::fetching ? fetching
              : p.stage == TaskStage::waiting  ? gathering
                                               : running) += taken(m.type, p);
@@ -1364,9 +1420,10 @@
     auto count = [](double d) { return std::to_string(std::llround(d)); };
     calls_.log(Level::info, "event=part_stats part=" + std::to_string(part_) +
                                 " machines=" + std::to_string(up) + " slots=" + count(total) +
-                                " running=" + count(running) + " fetching=" + count(fetching) + " gathering=" + count(gathering) +
-                                " sent=" + count(sent) + " idle=" + count(idle) + " closed=" +
-                                count(closed) + " jobs=" + std::to_string(jobs_.all().size()) +
+                                " running=" + count(running) + " fetching=" + count(fetching) +
+                                " gathering=" + count(gathering) + " sent=" + count(sent) +
+                                " idle=" + count(idle) + " closed=" + count(closed) +
+                                " jobs=" + std::to_string(jobs_.all().size()) +
                                 " waiting=" + std::to_string(waiting));
     if (part_ == kBuyer) {
         Totals all = totals(now);
@@ -1393,6 +1450,7 @@
     check_leases(now);
     fence_lots(now);
     settle(now);
+    tend_gangs(now);
     watch(now);
     for (const auto& [id, job] : jobs_.all()) {
         if (job->open() && job->complete()) {
--- a/src/core/part_owner.h
+++ b/src/core/part_owner.h
@@ -5,6 +5,7 @@
 #include "core/authority.h"
 #include "core/calls.h"
 #include "core/fleet.h"
+#include "core/gangs.h"
 #include "core/job_store.h"
 #include "core/machine_table.h"
 #include "core/slot_lists.h"
@@ -12,6 +13,9 @@
 
 namespace orchidlanding {
 
+// The time to save that a task is given, in times of what it says it needs.
+inline constexpr double kSaveTimes = 2;
+
 class PartOwner {
   public:
     PartOwner(Time now, int part, const Facts& facts, const Policy& policy,
@@ -78,8 +82,9 @@
     // May the worker forget this exited task of ours?
     bool end_is_durable(const ListedTask& task);
     bool place_one(Time now, bool spot, Job& job, std::uint32_t task);
-    void start_on(Time now, Machine& machine, Job& job, std::uint32_t task);
-    bool zone_allowed(const Job& job, const std::string& zone) const;
+    void start_on(Time now, Machine& machine, Job& job, std::uint32_t task, std::uint64_t attempt);
+    // May `more` tasks of the job be placed in the zone?
+    bool zone_allowed(const Job& job, const std::string& zone, std::uint32_t more = 1) const;
     void send_orders(Time now);
     void upkeep(Time now, Machine& machine, std::vector<Command>& out);
     void check_leases(Time now);
@@ -99,8 +104,11 @@
         std::uint64_t heard_term = 0;
         bool inventoried = false; // it has accounted for every task of ours
         double batch = 0;
-        std::map<std::uint64_t, Told> told;             // by attempt, until a call is answered
-        std::map<std::uint64_t, HeldTask> ended;        // exited there, not durable here yet
+        std::uint64_t calls = 0;
+        Time want_again = 0; // slots that it gave us went back: nothing is asked for until then
+        using Where = std::pair<StartId, std::string>;  // a start and its machine
+        std::map<Where, Told> told;                     // until a call is answered
+        std::map<Where, HeldTask> ended;                // exited there, not durable here yet
         std::map<std::string, std::set<TaskRef>> tasks; // of ours, by the peer's machine
         std::uint64_t seen_term = 0;                    // of the listing taken in
         std::uint64_t seen = 0;
@@ -117,24 +125,64 @@
     };
     void call_peers(Time now);
     void call_peer(Time now, int part, Peer& peer);
-    std::vector<Want> wants_for(Time now, const Peer& peer) const;
+    std::vector<Want> wants_for(Time now, const Peer& peer);
     void heard(Time now, int part, Peer& peer, const ExchangeReply& reply);
     void reconcile(Time now, int part, Peer& peer, const ExchangeReply& reply);
     void use_grant(Time now, int part, Peer& peer, const Grant& grant);
+    void tell(Peer& peer, Told told);
     void remote_placed(Peer& peer, const TaskRef& task, Remote remote);
     void remote_gone(Time now, const TaskRef& task, ExitWhy why);
     void tell_ended(Peer& peer);
     void hand_over(Time now, bool spot, int thief, Want& want);
-    void lend(Time now, Machine& machine, int thief, Want& want);
+    void lend(Time now, Machine& machine, int thief, Want& want, std::uint32_t member = 0);
     void take_told(Machine& machine, const Told& told, int thief);
     void list_guests(const std::string& machine, int thief, ExchangeReply& reply) const;
     void note_guests(const std::string& name, Machine* machine);
     void adopt_guests(Time now, Machine& machine);
     void fence_lots(Time now);
     bool usable_now(Time now) const { return authority_.valid(now) && !deposed_; }
+    // Gangs (gang_placing.cpp): all tasks of an attempt start together or none does.
+    bool place_gang(Time now, bool spot, Job& job);
+    bool lend_gang(Time now, bool spot, int thief, Want& want);
+    struct GangPlan { // slots found for tasks of one shape, in their order
+        std::vector<std::string> machines;
+        std::map<std::string, std::uint32_t> on;
+        std::map<std::string, std::uint32_t> in_zone;
+    };
+    std::vector<std::string> gang_zones(bool one_zone) const;
+    GangPlan plan_gang(bool spot, const JobSpec& shape, const std::vector<std::uint32_t>& members,
+                       const Job* job, const std::string& zone,
+                       std::map<std::string, std::uint32_t> in_zone) const;
+    bool gang_fits(const Job& job) const;
+    void start_gang(Time now, Job& job, const std::vector<std::uint32_t>& members,
+                    const GangPlan& plan, std::uint64_t number);
+    bool want_gang(const Job& job, bool rest, Want& want);
+    // A gang that no owner has room for alone: slots of several are held for a moment until they
+    // are enough. One gang at a time, so that two of ours never hold halves.
+    struct Gathering {
+        std::string job;
+        std::uint64_t attempt = 0;
+        std::map<std::uint32_t, std::pair<int, Grant>> held; // by task; with the part of the slots
+        Time until = 0;
+    };
+    void give_back(int part, const Grant& grant);
+    void stop_gathering();
+    void use_gang_grants(Time now, int part, const std::vector<Grant>& grants);
+    void end_attempt(Time now, const std::string& job, bool saves);
+    void gang_task_gone(Time now, Job& job, ExitWhy why);
+    void finish_mates(Time now, Job& job);
+    void note_gangs(Time now, const Machine& machine);
+    void tend_gangs(Time now);
+    std::uint64_t new_attempt(int part, bool gang);
+
     const std::string* find_slots(bool spot, const JobSpec& shape, const TaskRef* task,
-                                  const Job* job) const;
+                                  const Job* job, const GangPlan* plan = nullptr,
+                                  const std::string& zone = {}) const;
+    void start_remote(int part, const Grant& grant, Job& job, std::uint32_t index);
+    bool grant_suits(const Job& job, const Grant& grant) const;
     Placement shape_of(const JobSpec& spec) const;
+    static JobSpec shape_wanted(const Want& want);
+
     struct Standing {
         Demand demand;
         FleetView fleet;
@@ -178,6 +226,7 @@
     MachineTable machines_;
     SlotLists slots_;
     Teams teams_;
+    Gangs gangs_;
     Fleet fleet_;
     std::map<int, Peer> peers_;
     std::map<TaskRef, Remote> remote_;
@@ -193,6 +242,7 @@
     Standing standing_;
     Time standing_until_ = 0;
     mutable std::uint64_t effort_ = 0;
+    std::optional<Gathering> gathering_;
     std::set<std::string> longest_; // teams whose work takes longer than all work together
     Time order_until_ = 0;
     std::uint64_t next_attempt_ = 1;
--- a/src/core/parts.h
+++ b/src/core/parts.h
@@ -13,14 +13,22 @@
 inline std::string part_key(int part) { return "part/" + std::to_string(part); }
 
 // An attempt carries the part of its job, so that an owner who finds a task on a machine knows
-// whom to ask about it: term, counter, part.
-inline constexpr int kPartBits = 8;
-inline constexpr int kCounterBits = 20;
-inline std::uint64_t make_attempt(std::uint64_t term, std::uint64_t counter, int part) {
-    return (((term << kCounterBits) + counter) << kPartBits) | static_cast<std::uint64_t>(part);
+// whom to ask about it: term, counter, whether it is a gang's, part.
+inline constexpr int kPartBits = 7;
+inline constexpr int kMostParts = 1 << kPartBits;
+inline constexpr std::uint64_t kGangBit = 1U << kPartBits;
+inline constexpr int kCounterBits = 24;
+inline std::uint64_t make_attempt(std::uint64_t term, std::uint64_t counter, int part,
+                                  bool gang = false) {
+    return (((term << kCounterBits) + counter) << (kPartBits + 1)) | (gang ? kGangBit : 0) |
+           static_cast<std::uint64_t>(part);
 }
 inline int part_of_attempt(std::uint64_t attempt) {
-    return static_cast<int>(attempt & ((1U << kPartBits) - 1));
+    return static_cast<int>(attempt & (kMostParts - 1));
+}
+// What tells one start from another: the attempt, and where a gang's tasks share it the task too.
+inline StartId start_id(std::uint64_t attempt, std::uint32_t index) {
+    return {attempt, (attempt & kGangBit) != 0 ? index : 0};
 }
 
 } // namespace orchidlanding
--- a/src/core/slot_lists.h
+++ b/src/core/slot_lists.h
@@ -16,8 +16,8 @@
 
 // How many slots of such a machine a task takes up, by what it needs most of.
 int slots_needed(const MachineType& type, double cpus, double gpus, double ram_gb);
-// From which list a task may be served. GPU machines are listed by idle GPUs alone, so that tasks of
-// uneven shape still share one; a task that wants none is served from the list of 0 as well.
+// From which list a task may be served. GPU machines are listed by idle GPUs alone, so that tasks
+// of uneven shape still share one; a task that wants none is served from the list of 0 as well.
 int slots_listed(const MachineType& type, double cpus, double gpus, double ram_gb);
 int slots_idle(double free_cpus, double free_gpus, double free_ram_gb, const MachineType& type);
 
--- a/src/core/stealing.cpp
+++ b/src/core/stealing.cpp
@@ -15,8 +15,14 @@
 // A slot handed over shows its start within a report or so; after that the owner fences it.
 constexpr double kLotReports = 1.5;
 
-JobSpec shape_wanted(const Want& w) {
+} // namespace
+
+JobSpec PartOwner::shape_wanted(const Want& w) {
     JobSpec s;
+    s.id = w.job;
+    s.kind = w.kind;
+    s.spread = w.spread;
+    s.tasks = w.gang_tasks;
     s.cpus = w.cpus;
     s.gpus = w.gpus;
     s.ram_gb = w.ram_gb;
@@ -27,7 +33,6 @@
     s.spot = w.spot;
     return s;
 }
-} // namespace
 
 // ---- As the owner of jobs ----
 
@@ -42,7 +47,7 @@
     }
 }
 
-std::vector<Want> PartOwner::wants_for(Time now, const Peer& peer) const {
+std::vector<Want> PartOwner::wants_for(Time now, const Peer& peer) {
     std::vector<Want> wants;
     std::vector<const Job*> waiting;
     for (const auto& [id, job] : jobs_.all()) {
@@ -60,13 +65,31 @@
     Teams room = teams_; // so that slots are not asked for beyond a team's limit
     for (const Job* job : waiting) {
         const JobSpec& s = job->spec;
-        Want w{s.id,   0,      s.cpus,     s.gpus, s.ram_gb, s.image, s.image_gb, s.types,
-               s.zone, s.spot, s.priority, false,  false,    0,       0};
+        Want w;
+        w.job = s.id;
+        w.kind = s.kind;
+        w.cpus = s.cpus;
+        w.gpus = s.gpus;
+        w.ram_gb = s.ram_gb;
+        w.image = s.image;
+        w.image_gb = s.image_gb;
+        w.types = s.types;
+        w.zone = s.zone;
+        w.spot = s.spot;
+        w.priority = s.priority;
         w.longest = longest_.contains(s.team);
         w.borrows = !teams_.within_guarantee(s.team, s.cpus, s.gpus);
         w.age_s = now - job->known_since;
         w.due_s = std::max(0.0, job->due - now);
-        while (w.count < peer.batch && w.count < job->waiting.size() &&
+        if (s.kind == JobKind::gang) {
+            auto n = static_cast<double>(job->waiting.size());
+            if (!room.fits(s.team, n * s.cpus, n * s.gpus) ||
+                !want_gang(*job, peer.calls % 2 == 1, w)) {
+                continue;
+            }
+            room.use(s.team, n * s.cpus, n * s.gpus);
+        }
+        while (s.kind != JobKind::gang && w.count < peer.batch && w.count < job->waiting.size() &&
                room.fits(s.team, s.cpus, s.gpus)) {
             room.use(s.team, s.cpus, s.gpus);
             ++w.count;
@@ -88,13 +111,16 @@
     out.term = term_;
     out.to = part;
     refresh_order(now);
-    out.wants = wants_for(now, peer);
-    std::vector<std::uint64_t> told;
-    for (const auto& [attempt, t] : peer.told) {
+    ++peer.calls;
+    if (now >= peer.want_again) {
+        out.wants = wants_for(now, peer);
+    }
+    std::vector<Peer::Where> told;
+    for (const auto& [where, t] : peer.told) {
         if (told.size() == kMostTold) {
             break;
         }
-        told.push_back(attempt);
+        told.push_back(where);
         out.told.push_back(t);
     }
     std::vector<std::string> bought;
@@ -109,10 +135,12 @@
     out.demand = standing(now).demand;
     out.fleet = standing(now).fleet;
     std::uint32_t asked = 0;
+    std::uint32_t gang = 0; // the largest
     for (const auto& w : out.wants) {
         asked += w.count;
+        gang = std::max(gang, w.kind == JobKind::gang ? w.count : 0);
     }
-    asked = std::min(asked, static_cast<std::uint32_t>(peer.batch));
+    asked = std::min(asked, std::max(gang, static_cast<std::uint32_t>(peer.batch)));
     out.most = asked;
     bool busy = asked > 0 || !peer.tasks.empty() || !peer.inventoried;
     peer.next = now + (busy ? policy_.exchange_s : facts_.report_s / 3);
@@ -124,8 +152,8 @@
                     if (reply.status != 200 || !reply.exchange || !usable_now(at)) {
                         return;
                     }
-                    for (std::uint64_t attempt : told) {
-                        p.told.erase(attempt);
+                    for (const auto& where : told) {
+                        p.told.erase(where);
                     }
                     for (const auto& name : bought) {
                         bought_.erase(name); // its owner counts it now, in this very reply
@@ -142,7 +170,10 @@
                     if (std::any_of(p.told.begin(), p.told.end(), [](const auto& t) {
                             return t.second.what == Told::What::back;
                         })) {
+                        // The slots go back at once, but asked for again at once they would
+                        // come and go as fast as calls do.
                         p.next = at;
+                        p.want_again = at + policy_.exchange_s;
                     }
                     place(at);
                     send_orders(at);
@@ -157,11 +188,18 @@
         if (!end_is_durable(h.listed)) {
             return false;
         }
-        peer.told[e.first] = {Told::What::clear, h.machine, e.first};
+        peer.told[e.first] = {Told::What::clear, h.machine, e.first.first};
         return true;
     });
 }
 
+// A word that does not wait for the next regular call.
+void PartOwner::tell(Peer& peer, Told told) {
+    Peer::Where where{told.id, told.machine};
+    peer.told[where] = std::move(told);
+    peer.next = 0;
+}
+
 void PartOwner::heard(Time now, int part, Peer& peer, const ExchangeReply& reply) {
     if (reply.term < peer.heard_term) {
         return;
@@ -175,8 +213,16 @@
         peer.inventoried = true;
         settle(now);
     }
+    std::map<std::uint64_t, std::vector<Grant>> gangs;
     for (const auto& grant : reply.grants) {
-        use_grant(now, part, peer, grant);
+        if ((grant.id.attempt & kGangBit) != 0) {
+            gangs[grant.id.attempt].push_back(grant);
+        } else {
+            use_grant(now, part, peer, grant);
+        }
+    }
+    for (const auto& [attempt, grants] : gangs) {
+        use_gang_grants(now, part, grants);
     }
 }
 
@@ -184,14 +230,17 @@
 // start has not shown. A task of ours that is in neither is not on that machine, once all of the
 // peer's machines are accounted for; nor is it on one that a full listing does not name.
 void PartOwner::reconcile(Time now, int part, Peer& peer, const ExchangeReply& reply) {
-    std::set<std::uint64_t> present(reply.open.begin(), reply.open.end());
+    std::set<StartId> open(reply.open.begin(), reply.open.end());
+    std::set<Peer::Where> present;
     for (const auto& h : reply.held) {
         const ListedTask& t = h.listed;
-        present.insert(t.attempt);
+        StartId id = start_id(t.attempt, t.task.index);
+        present.insert({id, h.machine});
         Job* job = jobs_.find(t.task.job);
         bool ours = job && t.task.index < job->spec.tasks;
         auto it = remote_.find(t.task);
-        bool same = it != remote_.end() && it->second.attempt == t.attempt;
+        bool same = it != remote_.end() && it->second.attempt == t.attempt &&
+                    it->second.machine == h.machine;
         bool waits = ours && job->tasks[t.task.index] == TaskState::waiting;
         if (t.stage == TaskStage::exited) {
             if (same) {
@@ -202,10 +251,12 @@
                     finish_job(now, *job);
                 }
             }
-            peer.ended[t.attempt] = h;
+            peer.ended[{id, h.machine}] = h;
             continue;
         }
-        if (waits) { // started by an owner of this part before us
+        bool gang = ours && job->spec.kind == JobKind::gang;
+        if (waits && (!gang || gangs_.adopt(now, t.task.job, t.attempt))) {
+            // started by an owner of this part before us
             jobs_.place(*job, t.task.index, h.zone);
             teams_.use(job->spec.team, job->spec.cpus, job->spec.gpus);
             remote_placed(peer, t.task, {t.attempt, part, h.machine, h.zone});
@@ -213,11 +264,20 @@
         }
         bool moves = h.draining && ours && job->spec.kind == JobKind::service;
         if (!same || !job->open() || moves) {
-            peer.told[t.attempt] = {Told::What::stop, h.machine, t.attempt};
-        } else if (h.shape_unknown) {
+            peer.told[{id, h.machine}] = {Told::What::stop, h.machine, id};
+            continue;
+        }
+        if (h.shape_unknown) {
             const JobSpec& s = job->spec;
-            peer.told[t.attempt] = {Told::What::shape, h.machine, t.attempt, s.cpus, s.gpus,
-                                    s.ram_gb,          s.image,   s.image_gb};
+            peer.told[{id, h.machine}] = {
+                Told::What::shape, h.machine, id,        0, s.kind, s.cpus, s.gpus,
+                s.ram_gb,          s.image,   s.image_gb};
+        }
+        if (gang && t.stage == TaskStage::running) {
+            gangs_.runs(t.task.job);
+        }
+        if (gang && h.notice) {
+            end_attempt(now, t.task.job, true);
         }
     }
     if (!reply.settled) {
@@ -226,7 +286,9 @@
     std::vector<TaskRef> absent;
     auto look = [&](const std::set<TaskRef>& tasks) {
         for (const auto& task : tasks) {
-            if (!present.contains(remote_.at(task).attempt)) {
+            const Remote& r = remote_.at(task);
+            StartId id = start_id(r.attempt, task.index);
+            if (!open.contains(id) && !present.contains({id, r.machine})) {
                 absent.push_back(task);
             }
         }
@@ -273,12 +335,16 @@
     account(now, task, why, r.zone);
 }
 
+bool PartOwner::grant_suits(const Job& job, const Grant& g) const {
+    const JobSpec& s = job.spec;
+    return s.cpus <= g.cpus && s.gpus <= g.gpus && s.ram_gb <= g.ram_gb && (s.spot || !g.spot) &&
+           s.allows_type(g.type) && zone_allowed(job, g.zone) &&
+           teams_.fits(s.team, s.cpus, s.gpus);
+}
+
 void PartOwner::use_grant(Time now, int part, Peer& peer, const Grant& g) {
     auto suits = [&](const Job& job) {
-        const JobSpec& s = job.spec;
-        return waits(now, job) && s.cpus <= g.cpus && s.gpus <= g.gpus && s.ram_gb <= g.ram_gb &&
-               (s.spot || !g.spot) && s.allows_type(g.type) && zone_allowed(job, g.zone) &&
-               teams_.fits(s.team, s.cpus, s.gpus);
+        return job.spec.kind != JobKind::gang && waits(now, job) && grant_suits(job, g);
     };
     Job* job = jobs_.find(g.job);
     if (!job || !suits(*job)) { // its tasks found slots meanwhile; another job may use these
@@ -291,23 +357,29 @@
         }
     }
     if (!job || !usable_now(now)) {
-        peer.told[g.attempt] = {Told::What::back, g.machine, g.attempt};
+        tell(peer, {Told::What::back, g.machine, g.id});
         return;
     }
-    TaskRef task{job->spec.id, *job->waiting.begin()};
-    jobs_.place(*job, task.index, g.zone);
-    teams_.use(job->spec.team, job->spec.cpus, job->spec.gpus);
-    remote_placed(peer, task, {g.attempt, part, g.machine, g.zone});
-    Orders orders{g.machine, g.endpoint, g.token, g.session, {{Op::start, task, g.attempt, 0}}};
+    start_remote(part, g, *job, *job->waiting.begin());
+}
+
+// Sends the start of a task of ours to slots that another owner has handed over.
+void PartOwner::start_remote(int part, const Grant& g, Job& job, std::uint32_t index) {
+    TaskRef task{job.spec.id, index};
+    jobs_.place(job, index, g.zone);
+    teams_.use(job.spec.team, job.spec.cpus, job.spec.gpus);
+    remote_placed(peers_.at(part), task, {g.id.attempt, part, g.machine, g.zone});
+    Orders orders{g.machine, g.endpoint, g.token, g.session, {{Op::start, task, g.id.attempt, 0}}};
     calls_.send(std::move(orders), [this, task, part, machine = g.machine,
-                                    attempt = g.attempt](Time at, CallReply& reply) {
+                                    id = g.id](Time at, CallReply& reply) {
         unanswered_ = reply.status == 0 ? unanswered_ + 1 : 0;
         auto it = remote_.find(task);
-        if (reply.status != 409 || it == remote_.end() || it->second.attempt != attempt) {
+        if (reply.status != 409 || it == remote_.end() || it->second.attempt != id.attempt ||
+            it->second.machine != machine) {
             return; // executed, or in doubt until the machine's owner lists it or has fenced it
         }
         // Refused, so it never will be executed: the slots go back.
-        peers_.at(part).told[attempt] = {Told::What::back, machine, attempt};
+        tell(peers_.at(part), {Told::What::back, machine, id});
         remote_gone(at, task, ExitWhy::none);
     });
 }
@@ -365,7 +437,7 @@
     if (reply.full) {
         for (const auto& [name, m] : machines_.all()) {
             list_guests(name, in.from, reply);
-            for (const auto& [attempt, lot] : m.lots) {
+            for (const auto& [id, lot] : m.lots) {
                 reply.clean = reply.clean && (lot.thief != in.from || lot.thief_term >= in.term);
             }
         }
@@ -378,7 +450,7 @@
     }
     for (auto& g : std::exchange(peer.grants, {})) {
         Machine* m = machines_.find(g.machine);
-        if (m && m->lots.contains(g.attempt)) {
+        if (m && m->lots.contains(g.id)) {
             reply.grants.push_back(std::move(g));
         }
     }
@@ -396,17 +468,18 @@
     for (const auto& [task, p] : m.tasks) {
         if (part_of_attempt(p.attempt) == thief) {
             ListedTask listed{task, p.attempt, p.stage, ExitWhy::none};
-            reply.held.push_back({listed, name, m.zone, p.shape_unknown, m.draining || m.trimming});
+            reply.held.push_back({listed, name, m.zone, p.shape_unknown, m.draining || m.trimming,
+                                  m.notice_s.has_value()});
         }
     }
     for (const auto& t : m.finished) {
         if (part_of_attempt(t.attempt) == thief) {
-            reply.held.push_back({t, name, m.zone, false, false});
+            reply.held.push_back({t, name, m.zone, false, false, false});
         }
     }
-    for (const auto& [attempt, lot] : m.lots) {
+    for (const auto& [id, lot] : m.lots) {
         if (lot.thief == thief) {
-            reply.open.push_back(attempt);
+            reply.open.push_back(id);
         }
     }
 }
@@ -415,25 +488,25 @@
 // its slot changes nothing, so that most changes are ends.
 void PartOwner::note_guests(const std::string& name, Machine* m) {
     std::uint64_t print = 0;
-    auto mix = [&](std::uint64_t attempt, std::uint64_t state) {
-        std::uint64_t x = attempt * 8 + state + 0x9e3779b97f4a7c15ULL;
+    auto mix = [&](const StartId& id, std::uint64_t state) {
+        std::uint64_t x = (id.attempt * 16 + state) * 31 + id.index + 0x9e3779b97f4a7c15ULL;
         x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
         x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
         print ^= x ^ (x >> 31);
     };
     if (m) {
-        std::uint64_t leaving = m->draining || m->trimming ? 1 : 0;
+        std::uint64_t leaving = (m->draining || m->trimming ? 1 : 0) + (m->notice_s ? 8 : 0);
         for (const auto& [task, p] : m->tasks) {
             if (part_of_attempt(p.attempt) != part_) {
-                mix(p.attempt, leaving + (p.shape_unknown ? 2 : 0));
+                mix(start_id(p.attempt, task.index), leaving + (p.shape_unknown ? 2 : 0));
             }
         }
-        for (const auto& [attempt, lot] : m->lots) {
-            mix(attempt, leaving);
+        for (const auto& [id, lot] : m->lots) {
+            mix(id, leaving);
         }
         for (const auto& t : m->finished) {
             if (part_of_attempt(t.attempt) != part_) {
-                mix(t.attempt, 4);
+                mix(start_id(t.attempt, t.task.index), 4);
             }
         }
         if (print == m->guests_print) {
@@ -454,7 +527,7 @@
 void PartOwner::take_told(Machine& m, const Told& told, int thief) {
     switch (told.what) {
     case Told::What::back: {
-        auto lot = m.lots.find(told.attempt);
+        auto lot = m.lots.find(told.id);
         if (lot != m.lots.end() && lot->second.thief == thief &&
             lot->second.thief_term == peers_.at(thief).job_term) {
             m.lots.erase(lot);
@@ -464,17 +537,28 @@
     }
     case Told::What::clear:
         for (const auto& t : m.finished) {
-            if (t.attempt == told.attempt) {
-                m.clear_guests.insert(told.attempt);
+            if (start_id(t.attempt, t.task.index) == told.id) {
+                m.clear_guests.insert(told.id);
             }
         }
         return;
     case Told::What::stop:
-        m.stop_guests.insert(told.attempt); // its start may be on the way yet
+        // Its start may be on the way yet, so the word is kept. Told anew to leave at once, it
+        // must.
+        if (auto [it, added] = m.stop_guests.try_emplace(told.id, told.grace_s);
+            added || told.grace_s < it->second) {
+            it->second = told.grace_s;
+            for (const auto& [task, p] : m.tasks) {
+                if (start_id(p.attempt, task.index) == told.id && p.via == Placement::Via::listed) {
+                    machines_.queue_stop(m, task, p.attempt, told.grace_s);
+                }
+            }
+        }
         return;
     case Told::What::shape:
         for (auto& [task, p] : m.tasks) {
-            if (p.attempt == told.attempt && p.shape_unknown) {
+            if (start_id(p.attempt, task.index) == told.id && p.shape_unknown) {
+                p.kind = told.kind;
                 p.cpus = told.cpus;
                 p.gpus = told.gpus;
                 p.ram_gb = told.ram_gb;
@@ -502,7 +586,7 @@
     }
 }
 
-void PartOwner::lend(Time now, Machine& m, int thief, Want& want) {
+void PartOwner::lend(Time now, Machine& m, int thief, Want& want, std::uint32_t member) {
     Peer& peer = peers_.at(thief);
     Lot lot;
     lot.thief = thief;
@@ -510,14 +594,15 @@
     lot.token = make_token(term_, m.sequence);
     lot.since = now;
     lot.shape = shape_of(shape_wanted(want));
-    lot.shape.attempt = make_attempt(term_, next_attempt_++, thief);
+    lot.shape.attempt = want.attempt != 0 ? want.attempt : new_attempt(thief, false);
     lot.shape.via = Placement::Via::orders;
     lot.shape.token = lot.token;
     lot.shape.since = now;
     m.touch_image(want.image, want.image_gb);
-    peer.grants.push_back({lot.shape.attempt, want.job, m.name, m.endpoint, m.session, lot.token,
-                           m.type.name, m.zone, m.spot, want.cpus, want.gpus, want.ram_gb});
-    m.lots.emplace(lot.shape.attempt, std::move(lot));
+    StartId id = start_id(lot.shape.attempt, member);
+    peer.grants.push_back({id, want.job, m.name, m.endpoint, m.session, lot.token, m.type.name,
+                           m.zone, m.spot, want.cpus, want.gpus, want.ram_gb});
+    m.lots.emplace(id, std::move(lot));
     relist(m);
     --want.count;
     --peer.left;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -51,6 +51,12 @@
     auto operator<=>(const TaskRef&) const = default;
 };
 
+struct StartId { // see start_id in parts.h
+    std::uint64_t attempt = 0;
+    std::uint32_t index = 0;
+    auto operator<=>(const StartId&) const = default;
+};
+
 enum class TaskStage { fetching, waiting, running, saving, exited };
 enum class ExitWhy { none, done, stopped, peers, alone, error, no_room, busy, unknown };
 
@@ -189,6 +195,8 @@
     double report_s = 0;
     double lease_s = 0;
     double cancel_s = 0;
+    double gang_wait_s = 0;
+    double gang_peer_s = 0;
     double state_rps = 0;
     double state_write_rps = 0;
     double value_kb = 0;
--- a/src/core/user_desk.cpp
+++ b/src/core/user_desk.cpp
@@ -67,7 +67,7 @@
         return;
     }
     std::string why = refusal(spec, types);
-    if (why.empty() && spec.kind != JobKind::gang) {
+    if (why.empty()) {
         create(now, submit.request, spec);
         return;
     }
@@ -78,10 +78,8 @@
                 calls_.answer(request, 200, JobAnswer{id, "pending", {}, {}});
             } else if (reply.status != 404) {
                 busy(request);
-            } else if (!why.empty()) {
-                calls_.answer(request, 422, Plain{why});
             } else {
-                calls_.answer(request, 503, Plain{"this kind of job is not served yet"}, 30);
+                calls_.answer(request, 422, Plain{why});
             }
         });
     if (!sent) {
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -474,9 +474,7 @@
     return {f.amount("ordinary_slots"), f.amount("any_slots"), f.amount("left_slot_s")};
 }
 
-FleetView fleet_of(const Fields& f) {
-    return {f.amount("ordinary"), f.amount("spot")};
-}
+FleetView fleet_of(const Fields& f) { return {f.amount("ordinary"), f.amount("spot")}; }
 
 std::vector<std::string> names_of(const Fields& f, const char* name) {
     std::vector<std::string> out;
@@ -486,12 +484,21 @@
     return out;
 }
 
-std::vector<std::uint64_t> counts_of(const Fields& f, const char* name) {
-    std::vector<std::uint64_t> out;
-    for (const auto* n : f.list(name)) {
-        out.push_back(Fields::integer_of(*n, name));
+std::uint32_t index_of(const msgpack::object& v, const char* name) {
+    std::uint64_t index = Fields::integer_of(v, name);
+    if (index >= kMostTasks) {
+        throw BadMessage(std::string(name) + ": out of range");
     }
-    return out;
+    return static_cast<std::uint32_t>(index);
+}
+
+void pack_start(Packer& p, const StartId& id) {
+    field(p, "attempt", id.attempt);
+    field(p, "index", id.index);
+}
+
+StartId start_of(const Fields& f) {
+    return {f.integer("attempt"), index_of(f.need("index"), "index")};
 }
 
 void pack_exchange(Packer& p, const Exchange& e) {
@@ -505,8 +512,15 @@
     key(p, "wants");
     p.pack_array(static_cast<std::uint32_t>(e.wants.size()));
     for (const auto& w : e.wants) {
-        p.pack_map(15);
+        p.pack_map(22);
         field(p, "job", w.job);
+        field(p, "partial", w.partial);
+        field(p, "kind", name_of(w.kind, kKinds));
+        field(p, "attempt", w.attempt);
+        field(p, "members", w.members);
+        field(p, "one_zone", w.one_zone);
+        field(p, "spread", w.spread);
+        field(p, "gang_tasks", w.gang_tasks);
         field(p, "count", w.count);
         field(p, "cpus", w.cpus);
         field(p, "gpus", w.gpus);
@@ -527,10 +541,12 @@
     key(p, "told");
     p.pack_array(static_cast<std::uint32_t>(e.told.size()));
     for (const auto& t : e.told) {
-        p.pack_map(8);
+        p.pack_map(11);
         field(p, "what", name_of(t.what, kTolds));
         field(p, "machine", t.machine);
-        field(p, "attempt", t.attempt);
+        pack_start(p, t.id);
+        field(p, "grace_s", t.grace_s);
+        field(p, "kind", name_of(t.kind, kKinds));
         field(p, "cpus", t.cpus);
         field(p, "gpus", t.gpus);
         field(p, "ram_gb", t.ram_gb);
@@ -558,6 +574,15 @@
         Fields w(*item);
         Want want;
         want.job = w.text("job");
+        want.kind = enum_of<JobKind>(w.text("kind"), kKinds, "kind");
+        want.attempt = w.integer("attempt");
+        for (const auto* member : w.list("members")) {
+            want.members.push_back(index_of(*member, "members"));
+        }
+        want.one_zone = w.flag("one_zone");
+        want.spread = w.flag("spread");
+        want.partial = w.flag("partial");
+        want.gang_tasks = static_cast<std::uint32_t>(w.integer("gang_tasks"));
         want.count = static_cast<std::uint32_t>(w.integer("count"));
         want.cpus = w.amount("cpus");
         want.gpus = w.amount("gpus");
@@ -574,13 +599,19 @@
         want.longest = w.flag("longest");
         want.age_s = w.amount("age_s");
         want.due_s = w.amount("due_s");
+        bool gang = want.kind == JobKind::gang;
+        if (gang != (want.attempt != 0) || (gang && want.members.size() != want.count)) {
+            throw BadMessage("wants: attempt and members do not go together");
+        }
         e.wants.push_back(std::move(want));
     }
     for (const auto* item : f.list("told")) {
         Fields t(*item);
         e.told.push_back({enum_of<Told::What>(t.text("what"), kTolds, "what"), t.text("machine"),
-                          t.integer("attempt"), t.amount("cpus"), t.amount("gpus"),
-                          t.amount("ram_gb"), t.text("image"), t.amount("image_gb")});
+                          start_of(t), t.amount("grace_s"),
+                          enum_of<JobKind>(t.text("kind"), kKinds, "kind"), t.amount("cpus"),
+                          t.amount("gpus"), t.amount("ram_gb"), t.text("image"),
+                          t.amount("image_gb")});
     }
     e.most = static_cast<std::uint32_t>(f.integer("most"));
     for (const auto* item : f.list("bought")) {
@@ -606,7 +637,7 @@
     key(p, "held");
     p.pack_array(static_cast<std::uint32_t>(r.held.size()));
     for (const auto& h : r.held) {
-        p.pack_map(8);
+        p.pack_map(9);
         field(p, "task", text_of(h.listed.task));
         field(p, "attempt", h.listed.attempt);
         field(p, "stage", name_of(h.listed.stage, kStages));
@@ -615,14 +646,19 @@
         field(p, "zone", h.zone);
         field(p, "shape_unknown", h.shape_unknown);
         field(p, "draining", h.draining);
+        field(p, "notice", h.notice);
     }
     key(p, "open");
-    p.pack(r.open);
+    p.pack_array(static_cast<std::uint32_t>(r.open.size()));
+    for (const auto& id : r.open) {
+        p.pack_map(2);
+        pack_start(p, id);
+    }
     key(p, "grants");
     p.pack_array(static_cast<std::uint32_t>(r.grants.size()));
     for (const auto& g : r.grants) {
-        p.pack_map(12);
-        field(p, "attempt", g.attempt);
+        p.pack_map(13);
+        pack_start(p, g.id);
         field(p, "job", g.job);
         field(p, "machine", g.machine);
         field(p, "endpoint", g.endpoint);
@@ -657,15 +693,18 @@
         held.zone = h.text("zone");
         held.shape_unknown = h.flag("shape_unknown");
         held.draining = h.flag("draining");
+        held.notice = h.flag("notice");
         r.held.push_back(std::move(held));
     }
-    r.open = counts_of(f, "open");
+    for (const auto* item : f.list("open")) {
+        r.open.push_back(start_of(Fields(*item)));
+    }
     for (const auto* item : f.list("grants")) {
         Fields g(*item);
-        r.grants.push_back({g.integer("attempt"), g.text("job"), g.text("machine"),
-                            g.text("endpoint"), g.integer("session"), g.integer("token"),
-                            g.text("type"), g.text("zone"), g.flag("spot"), g.amount("cpus"),
-                            g.amount("gpus"), g.amount("ram_gb")});
+        r.grants.push_back({start_of(g), g.text("job"), g.text("machine"), g.text("endpoint"),
+                            g.integer("session"), g.integer("token"), g.text("type"),
+                            g.text("zone"), g.flag("spot"), g.amount("cpus"), g.amount("gpus"),
+                            g.amount("ram_gb")});
     }
     return r;
 }
