--- a/src/core/io.h
+++ b/src/core/io.h
@@ -41,6 +41,7 @@
     bool one_zone = false;
     bool spread = false;
     std::uint32_t gang_tasks = 0; // of the whole gang
+    bool preempt = false;         // tasks that may be stopped for it are to make room
     bool partial = false;         // as many as there are: other owners are asked for the rest
     std::uint32_t count = 0;
     double cpus = 0;
--- a/src/core/job_store.h
+++ b/src/core/job_store.h
@@ -30,8 +30,9 @@
     // fault, so it waits longer each time instead of taking machine after machine with it.
     int failures = 0;
     Time hold_until = 0;
-    Time waits_since = 0; // it has had tasks to place since then; 0: it has none
-    Time due = 0;         // when it is next expected to have come to something; see PartOwner::plan
+    Time waits_since = 0;    // it has had tasks to place since then; 0: it has none
+    bool wants_room = false; // no room could be made for it here: peers are asked to
+    Time due = 0; // when it is next expected to have come to something; see PartOwner::plan
 
     bool open() const { return outcome == Outcome::none; }
     bool complete() const { return done == spec.tasks; }
--- a/src/core/machine_table.h
+++ b/src/core/machine_table.h
@@ -27,6 +27,8 @@
     Time running_since = 0;
     std::string team;
     JobKind kind = JobKind::array;
+    Priority priority = Priority::production; // not known: never stopped for another
+    bool borrows = false; // its team ran beyond its guarantee when it was placed
     double cpus = 0;
     double gpus = 0;
     double ram_gb = 0;
@@ -71,6 +73,8 @@
     bool draining = false; // for good: a notice, or failures
     bool trimming = false; // more than is wanted: no new tasks, unless the wants grow again
     bool releasing = false;
+    std::string reserved_for; // the job that room was made for; see preemption.cpp
+    Time reserved_until = 0;
     Time idle_since = 0;
     std::optional<double> notice_s;
     int errors = 0; // failed tasks in a row
@@ -96,6 +100,10 @@
     bool has_unknown_shape() const;
     // Replicas run until they are cancelled, so such a machine does not empty by itself.
     bool has_service() const;
+    // May the job have idle slots here?
+    bool kept_for(const std::string& job) const {
+        return reserved_for.empty() || reserved_for == job;
+    }
     bool empty() const { return tasks.empty() && lots.empty(); }
     // An exited attempt of the task is listed still: another would be refused as busy.
     bool holds_exited(const TaskRef& task) const;
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -24,6 +24,8 @@
 // and a team may get more CPUs than it has now.
 constexpr double kHopeless = 1.5;
 constexpr double kStuckBoots = 1.5;
+constexpr double kArrivalLeases = 3; // how long arrivals are remembered
+constexpr double kAhead = 1.5;
 constexpr double kProgressShare = 0.3;     // of the changes that the state service takes
 constexpr int kBuyer = 0;                  // the part whose owner rents for all
 constexpr std::size_t kMostCommands = 200; // keeps a response well under the 64 KiB allowed
@@ -165,7 +167,12 @@
             return; // another part's
         }
         if (record->outcome == Outcome::none) {
-            jobs_.add(now, *record->spec, item.version);
+            if (jobs_.add(now, *record->spec, item.version) && loaded_) {
+                note_arrival(now, *record->spec);
+                for (auto& [part, peer] : peers_) {
+                    peer.next = 0; // it may have slots where we have none
+                }
+            }
             order_stale_ = true;
         } else if (record->outcome == Outcome::cancelled) {
             // Its tasks may still be on machines and count for their team until they are gone.
@@ -225,7 +232,9 @@
                                               take_record(at, item);
                                           }
                                           place(at);
+                                          press(at);
                                           send_orders(at);
+                                          call_peers(at);
                                           watch(at);
                                       } else if (reply.status == 410) {
                                           load(at, kJobs, "");
@@ -496,6 +505,7 @@
     Placement p;
     p.team = s.team;
     p.kind = s.kind;
+    p.priority = s.priority;
     p.cpus = s.cpus;
     p.gpus = s.gpus;
     p.ram_gb = s.ram_gb;
@@ -605,9 +615,9 @@
                 bool allowed = job ? zone_allowed(*job, m.zone, more)
                                    : (!s.zone || *s.zone == m.zone) && may_spread(s, more);
                 return allowed && (zone.empty() || zone == m.zone) && m.orders == 0 &&
-                       m.free_cpus() >= n * s.cpus && m.free_ram() >= n * s.ram_gb &&
-                       m.free_gpus() >= n * s.gpus && (!warm || m.warm(s.image)) &&
-                       !(task && m.holds_exited(*task));
+                       m.kept_for(s.id) && m.free_cpus() >= n * s.cpus &&
+                       m.free_ram() >= n * s.ram_gb && m.free_gpus() >= n * s.gpus &&
+                       (!warm || m.warm(s.image)) && !(task && m.holds_exited(*task));
             };
             const std::string* found =
                 slots_.pop({t.name, spot}, slots_listed(t, s.cpus, s.gpus, s.ram_gb), fits);
@@ -635,6 +645,7 @@
     const JobSpec& s = job.spec;
     Placement p = shape_of(s);
     p.attempt = attempt;
+    p.borrows = !teams_.within_guarantee(s.team, s.cpus, s.gpus);
     machines_.queue_start(now, m, {s.id, index}, std::move(p));
     jobs_.place(job, index, m.zone);
     teams_.use(s.team, s.cpus, s.gpus);
@@ -828,17 +839,17 @@
 bool PartOwner::suits(Time now, const Machine& m, const Candidate& c) const {
     if (c.want) {
         const Want& w = *c.want;
-        return w.count > 0 && peers_.at(c.thief).left > 0 && w.cpus <= m.free_cpus() &&
-               w.ram_gb <= m.free_ram() && w.gpus <= m.free_gpus() &&
+        return w.count > 0 && peers_.at(c.thief).left > 0 && m.kept_for(w.job) &&
+               w.cpus <= m.free_cpus() && w.ram_gb <= m.free_ram() && w.gpus <= m.free_gpus() &&
                (!w.types ||
                 std::find(w.types->begin(), w.types->end(), m.type.name) != w.types->end()) &&
                (!w.zone || *w.zone == m.zone);
     }
     const JobSpec& s = c.job->spec;
-    return waits(now, *c.job) && s.cpus <= m.free_cpus() && s.ram_gb <= m.free_ram() &&
-           s.gpus <= m.free_gpus() && teams_.fits(s.team, s.cpus, s.gpus) &&
-           s.allows_type(m.type.name) && zone_allowed(*c.job, m.zone) &&
-           !m.holds_exited({s.id, *c.job->waiting.begin()});
+    return waits(now, *c.job) && m.kept_for(s.id) && s.cpus <= m.free_cpus() &&
+           s.ram_gb <= m.free_ram() && s.gpus <= m.free_gpus() &&
+           teams_.fits(s.team, s.cpus, s.gpus) && s.allows_type(m.type.name) &&
+           zone_allowed(*c.job, m.zone) && !m.holds_exited({s.id, *c.job->waiting.begin()});
 }
 
 // The idle slots of one machine, as its report gives them. Of the candidates of the same rank, one
@@ -1131,7 +1142,34 @@
 
 // ---- The cloud ----
 
-Demand PartOwner::demand(Time now) const {
+// Work that only ordinary machines may run and that is to start sooner than one boots needs
+// machines that are there before it: as many as came of late in a boot time, and half as many
+// again.
+void PartOwner::note_arrival(Time now, const JobSpec& s) {
+    if (types_.empty() || s.spot || now - since_ < facts_.lease_s) {
+        return; // what was there when we came says nothing about what comes
+    }
+    const MachineType& t = usual_type(s);
+    for (const auto& o : facts_.objectives) {
+        if (o.kind == Objective::Kind::wait && o.job_class == s.job_class &&
+            o.within_s < t.boot_s) {
+            arrivals_.push_back(
+                {now, s.tasks * slots_needed(t, s.cpus, s.gpus, s.ram_gb) * t.boot_s});
+            return;
+        }
+    }
+}
+
+double PartOwner::ahead(Time now) const {
+    double sum = 0;
+    for (const auto& a : arrivals_) {
+        sum += a.slots;
+    }
+    double seen = std::min(kArrivalLeases * facts_.lease_s, now - since_ - facts_.lease_s);
+    return sum > 0 ? kAhead * sum / std::max(facts_.lease_s, seen) : 0;
+}
+
+Demand PartOwner::demand(Time now) {
     // Per team: what runs, and what must run to have the waiting work done within the horizon,
     // up to the team's limit.
     struct Need {
@@ -1169,6 +1207,10 @@
         left += left_s(*job) * slots;
     }
     d.left_slot_s = left;
+    while (!arrivals_.empty() && now - arrivals_.front().at > kArrivalLeases * facts_.lease_s) {
+        arrivals_.pop_front();
+    }
+    d.ordinary_slots += ahead(now);
     for (auto& [team, need] : needs) {
         const TeamFacts* f = teams_.facts(team);
         double cut = 1;
@@ -1473,6 +1515,7 @@
         run_fleet(now);
     }
     place(now);
+    press(now);
     send_orders(now);
     call_peers(now);
 }
--- a/src/core/part_owner.h
+++ b/src/core/part_owner.h
@@ -2,6 +2,8 @@
 // where. It lives as long as the claim; losing the claim throws all of it away.
 #pragma once
 
+#include <deque>
+
 #include "core/authority.h"
 #include "core/calls.h"
 #include "core/fleet.h"
@@ -175,6 +177,11 @@
     void tend_gangs(Time now);
     std::uint64_t new_attempt(int part, bool gang);
 
+    // Preemption (preemption.cpp).
+    bool make_room(Time now, const JobSpec& shape, std::size_t tasks, bool guaranteed,
+                   const Job* job);
+    void press(Time now);
+
     const std::string* find_slots(bool spot, const JobSpec& shape, const TaskRef* task,
                                   const Job* job, const GangPlan* plan = nullptr,
                                   const std::string& zone = {}) const;
@@ -208,7 +215,7 @@
     void list_hosts(Time now, std::string after);
     void saw_host(Time now, const Host& host);
     void release(Time now, std::vector<std::string> names);
-    Demand demand(Time now) const;
+    Demand demand(Time now);
     const MachineType* type(const std::string& name) const;
     const MachineType& usual_type(const JobSpec& spec) const;
     std::string roster_prefix() const;
@@ -243,6 +250,14 @@
     Time standing_until_ = 0;
     mutable std::uint64_t effort_ = 0;
     std::optional<Gathering> gathering_;
+    std::map<std::string, Time> pressed_; // jobs that room was looked for, and when again
+    struct Arrival {
+        Time at = 0;
+        double slots = 0;
+    };
+    std::deque<Arrival> arrivals_; // of work that is to start sooner than a machine boots
+    void note_arrival(Time now, const JobSpec& spec);
+    double ahead(Time now) const;
     std::set<std::string> longest_; // teams whose work takes longer than all work together
     Time order_until_ = 0;
     std::uint64_t next_attempt_ = 1;
--- /dev/null
+++ b/src/core/preemption.cpp
@@ -0,0 +1,155 @@
+// Preemption: room for work that is to start at once, gangs and replicas, made by stopping tasks of
+// arrays that rank lower or that their team runs beyond its guarantee. Of these, the ones that have
+// run least: most are still fetching their image, so that hardly any work is lost.
+#include <algorithm>
+#include <cmath>
+
+#include "core/part_owner.h"
+#include "core/parts.h"
+
+namespace orchidlanding {
+
+namespace {
+struct Room { // for one more task on a machine
+    double lost_s = 0;
+    Machine* machine = nullptr;
+    std::vector<TaskRef> victims;
+};
+
+// Room for up to `most` tasks on the machine, each with the victims that it costs.
+std::vector<Room> room_on(Time now, Machine& m, const JobSpec& s, bool guaranteed,
+                          std::size_t most) {
+    std::vector<std::pair<double, TaskRef>> victims;
+    for (const auto& [task, p] : m.tasks) {
+        bool lower = p.priority > s.priority || (guaranteed && p.borrows);
+        bool stays = p.via != Placement::Via::listed || p.kind != JobKind::array ||
+                     p.stage == TaskStage::saving || p.shape_unknown;
+        if (lower && !stays) {
+            bool runs = p.stage == TaskStage::running;
+            victims.emplace_back(runs ? now - p.running_since : 0, task);
+        }
+    }
+    std::sort(victims.begin(), victims.end());
+    double cpus = m.free_cpus();
+    double gpus = m.free_gpus();
+    double ram = m.free_ram();
+    std::vector<Room> rooms;
+    Room room{0, &m, {}};
+    auto next = victims.begin();
+    while (rooms.size() < most) {
+        if (cpus >= s.cpus && gpus >= s.gpus && ram >= s.ram_gb) {
+            cpus -= s.cpus;
+            gpus -= s.gpus;
+            ram -= s.ram_gb;
+            rooms.push_back(std::move(room));
+            room = Room{0, &m, {}};
+            continue;
+        }
+        if (next == victims.end()) {
+            break;
+        }
+        const Placement& p = m.tasks.at(next->second);
+        cpus += p.cpus;
+        gpus += p.gpus;
+        ram += p.ram_gb;
+        room.lost_s += next->first;
+        room.victims.push_back(next->second);
+        ++next;
+    }
+    return rooms;
+}
+} // namespace
+
+// Stops what has to go for `tasks` tasks of the shape, all of them in one zone if it says so, or
+// nothing. The machines are kept for the job until a report time has passed.
+bool PartOwner::make_room(Time now, const JobSpec& s, std::size_t tasks, bool guaranteed,
+                          const Job* job) {
+    std::map<std::string, std::vector<Room>> by_zone;
+    for (auto& [name, m] : machines_.all()) {
+        ++effort_;
+        if (!may_place(m) || m.orders != 0 || !m.reserved_for.empty() || (m.spot && !s.spot) ||
+            !s.allows_type(m.type.name) || (s.zone && *s.zone != m.zone) ||
+            (job && !zone_allowed(*job, m.zone))) {
+            continue;
+        }
+        auto rooms = room_on(now, m, s, guaranteed, tasks);
+        auto& all = by_zone[s.one_zone ? m.zone : ""];
+        std::move(rooms.begin(), rooms.end(), std::back_inserter(all));
+    }
+    std::vector<Room>* best = nullptr;
+    double least = 0;
+    bool whole = s.kind == JobKind::gang;
+    for (auto& [zone, rooms] : by_zone) {
+        // A machine's rooms come in the order of their cost, so the cheapest of all are a
+        // consistent choice.
+        std::stable_sort(rooms.begin(), rooms.end(), [](const Room& a, const Room& b) {
+            return std::pair(a.lost_s, a.victims.size()) < std::pair(b.lost_s, b.victims.size());
+        });
+        if (rooms.size() > tasks) {
+            rooms.resize(tasks);
+        }
+        double lost = 0;
+        for (const auto& room : rooms) {
+            lost += room.lost_s;
+        }
+        if ((!whole || rooms.size() == tasks) && !rooms.empty() && (!best || lost < least)) {
+            best = &rooms;
+            least = lost;
+        }
+    }
+    if (!best) {
+        return false;
+    }
+    std::size_t stopped = 0;
+    for (const auto& room : *best) {
+        room.machine->reserved_for = s.id;
+        room.machine->reserved_until = now + facts_.report_s;
+        for (const auto& task : room.victims) {
+            machines_.queue_stop(*room.machine, task, room.machine->tasks.at(task).attempt, 0);
+            ++stopped;
+        }
+    }
+    calls_.log(Level::info, "event=room_made job=" + s.id + " tasks=" + std::to_string(tasks) +
+                                " stopped=" + std::to_string(stopped) +
+                                " lost_s=" + std::to_string(std::llround(least)));
+    return true;
+}
+
+// For our own gangs and replicas that wait, and for those of peers who have no room of their own.
+void PartOwner::press(Time now) {
+    if (!accounted_ || !usable_now(now)) {
+        return;
+    }
+    for (auto& [name, m] : machines_.all()) {
+        if (!m.reserved_for.empty() && now > m.reserved_until) {
+            m.reserved_for.clear();
+        }
+    }
+    std::erase_if(pressed_, [&](const auto& p) { return now > p.second; });
+    refresh_order(now);
+    for (const Candidate& c : order_) {
+        const std::string& id = c.want ? c.want->job : c.job->spec.id;
+        bool at_once = (c.want ? c.want->kind : c.job->spec.kind) != JobKind::array;
+        if (!at_once || (c.borrows && c.priority != Priority::production) ||
+            pressed_.contains(id)) {
+            continue;
+        }
+        if (c.want && (!c.want->preempt || c.want->partial || c.want->count == 0)) {
+            continue;
+        }
+        pressed_[id] = now + facts_.report_s;
+        if (c.want) {
+            make_room(now, shape_wanted(*c.want), c.want->count, !c.borrows, nullptr);
+            continue;
+        }
+        const JobSpec& s = c.job->spec;
+        std::size_t tasks = c.job->waiting.size();
+        if (s.kind == JobKind::gang ? gang_fits(*c.job) : teams_.fits(s.team, s.cpus, s.gpus)) {
+            bool made = make_room(now, s, tasks, !c.borrows, c.job);
+            c.job->wants_room = !made || s.spread;
+        }
+    }
+    send_orders(now);
+}
+
+} // namespace orchidlanding
--- a/src/core/stealing.cpp
+++ b/src/core/stealing.cpp
@@ -28,6 +28,8 @@
     s.ram_gb = w.ram_gb;
     s.image = w.image;
     s.image_gb = w.image_gb;
+    s.priority = w.priority;
+    s.one_zone = w.one_zone;
     s.types = w.types;
     s.zone = w.zone;
     s.spot = w.spot;
@@ -79,6 +81,7 @@
         w.priority = s.priority;
         w.longest = longest_.contains(s.team);
         w.borrows = !teams_.within_guarantee(s.team, s.cpus, s.gpus);
+        w.preempt = job->wants_room;
         w.age_s = now - job->known_since;
         w.due_s = std::max(0.0, job->due - now);
         if (s.kind == JobKind::gang) {
@@ -424,6 +427,7 @@
         fence_lots(now); // of the owner before
     }
     place(now);
+    press(now);
     send_orders(now);
 
     ExchangeReply reply;
@@ -595,6 +599,7 @@
     lot.since = now;
     lot.shape = shape_of(shape_wanted(want));
     lot.shape.attempt = want.attempt != 0 ? want.attempt : new_attempt(thief, false);
+    lot.shape.borrows = want.borrows;
     lot.shape.via = Placement::Via::orders;
     lot.shape.token = lot.token;
     lot.shape.since = now;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -512,8 +512,9 @@
     key(p, "wants");
     p.pack_array(static_cast<std::uint32_t>(e.wants.size()));
     for (const auto& w : e.wants) {
-        p.pack_map(22);
+        p.pack_map(23);
         field(p, "job", w.job);
+        field(p, "preempt", w.preempt);
         field(p, "partial", w.partial);
         field(p, "kind", name_of(w.kind, kKinds));
         field(p, "attempt", w.attempt);
@@ -582,6 +583,7 @@
         want.one_zone = w.flag("one_zone");
         want.spread = w.flag("spread");
         want.partial = w.flag("partial");
+        want.preempt = w.flag("preempt");
         want.gang_tasks = static_cast<std::uint32_t>(w.integer("gang_tasks"));
         want.count = static_cast<std::uint32_t>(w.integer("count"));
         want.cpus = w.amount("cpus");
