Takeover: new jobs run at once, missing machines go sooner; a new session has its own lease

Jobs younger than the owner are never in doubt: they run on machines that are accounted for, with the older tasks counted for the limits; a machine that leaves two questions unanswered while most answer is released. Direct calls to workers give up after a quarter of a report time and have more threads, so that silent machines do not hold up the rest. Work that one zone alone can serve is rented for there.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -44,17 +44,19 @@
             in_zone[p.rent.zone] += p.rent.count * t->slots();
         }
     }
-    ask(now, types, false, demand.ordinary_slots - ordinary, out, in_zone);
+    std::map<std::string, double> bound = demand.bound;
+    ask(now, types, false, demand.ordinary_slots - ordinary, out, in_zone, bound);
     double spare = std::max(0.0, ordinary - demand.ordinary_slots);
-    ask(now, types, true, demand.any_slots - spot - spare, out, in_zone);
+    ask(now, types, true, demand.any_slots - spot - spare, out, in_zone, bound);
     return out;
 }
 
-// Rents what is lacking, machine by machine: in the zone with the fewest slots so far, of the type
-// with the lowest price for a slot there. What is refused is left alone for a while, so that the
-// next zone or type has its turn.
+// Rents what is lacking, machine by machine: where work is bound to, then in the zone with the
+// fewest slots so far, of the type with the lowest price for a slot there. What is refused is left
+// alone for a while, so that the next zone or type has its turn.
 void Fleet::ask(Time now, const std::vector<MachineType>& types, bool spot, double lack,
-                std::vector<Rent>& out, std::map<std::string, double>& in_zone) {
+                std::vector<Rent>& out, std::map<std::string, double>& in_zone,
+                std::map<std::string, double>& bound) {
     std::vector<const MachineType*> cheapest;
     for (const auto& t : types) {
         cheapest.push_back(&t);
@@ -77,11 +79,13 @@
     std::map<std::string, int> count;
     while (lack > 0 && !open.empty()) {
         auto least = std::min_element(open.begin(), open.end(), [&](const auto& a, const auto& b) {
-            return in_zone[a.first] < in_zone[b.first];
+            return std::pair(bound[a.first] <= 0, in_zone[a.first]) <
+                   std::pair(bound[b.first] <= 0, in_zone[b.first]);
         });
         const auto& [zone, t] = *least;
         lack -= t->slots();
         in_zone[zone] += t->slots();
+        bound[zone] -= t->slots();
         if (++count[zone] == most) {
             add_orders(now, *t, zone, spot, count[zone], out);
             count.erase(zone);
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -51,7 +51,8 @@
         bool in_flight = false;
     };
     void ask(Time now, const std::vector<MachineType>& types, bool spot, double lack,
-             std::vector<Rent>& out, std::map<std::string, double>& in_zone);
+             std::vector<Rent>& out, std::map<std::string, double>& in_zone,
+             std::map<std::string, double>& bound);
     void add_orders(Time now, const MachineType& type, const std::string& zone, bool spot,
                     int count, std::vector<Rent>& out);
 
--- a/src/core/io.h
+++ b/src/core/io.h
@@ -73,9 +73,10 @@
 };
 // Work that waits or runs, in slots.
 struct Demand {
-    double ordinary_slots = 0; // for jobs that may not use spot machines
-    double any_slots = 0;      // for jobs that may
-    double left_slot_s = 0;    // run time left of all of it, by the estimates
+    double ordinary_slots = 0;           // for jobs that may not use spot machines
+    double any_slots = 0;                // for jobs that may
+    double left_slot_s = 0;              // run time left of all of it, by the estimates
+    std::map<std::string, double> bound; // of what waits, slots that only one zone can give
 };
 struct FleetView { // slots of the usable machines of a part
     double ordinary = 0;
--- a/src/core/job_store.h
+++ b/src/core/job_store.h
@@ -30,7 +30,8 @@
     // fault, so it waits longer each time instead of taking machine after machine with it.
     int failures = 0;
     Time hold_until = 0;
-    Time waits_since = 0;    // it has had tasks to place since then; 0: it has none
+    Time waits_since = 0;  // it has had tasks to place since then; 0: it has none
+    bool in_doubt = false; // older than this owner: its tasks may be anywhere until it has settled
     bool wants_room = false; // no room could be made for it here: peers are asked to
     Time due = 0; // when it is next expected to have come to something; see PartOwner::plan
 
--- a/src/core/machine_table.cpp
+++ b/src/core/machine_table.cpp
@@ -151,6 +151,9 @@
         }
         m.lots.clear(); // their starts name the session before, so they are refused
         m.session = report.session;
+        // Its lease runs from when the session began, whether we hear of it by a report or by the
+        // answer to a direct command, which renews nothing.
+        renewed(now, m);
         m.tick = 0;
         m.images.clear();
     }
--- a/src/core/machine_table.h
+++ b/src/core/machine_table.h
@@ -68,6 +68,7 @@
     Time known_since = 0;
     double age_at_known_s = 0;
     Time lease_end = 0; // by then the worker has given up this session if nobody renews it
+    int unanswered = 0; // direct questions in a row
     bool on_roster = false;
     bool roster_write = false;
     bool draining = false; // for good: a notice, or failures
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -69,6 +69,12 @@
             peers_[p].batch = policy_.steal_batch;
         }
     }
+    for (const auto& t : types_) {
+        by_fetch_.push_back(&t);
+    }
+    std::stable_sort(by_fetch_.begin(), by_fetch_.end(), [](const auto* a, const auto* b) {
+        return a->fetch_gb_per_s > b->fetch_gb_per_s;
+    });
     load(now, kJobs, "");
 }
 
@@ -144,6 +150,7 @@
             adopt_listed(now, m);
             relist(m);
         }
+        count_doubtful();
         std::vector<std::string> silent(unaccounted_.begin(), unaccounted_.end());
         for (const auto& name : silent) {
             probe(now, name, kProbes);
@@ -167,7 +174,10 @@
             return; // another part's
         }
         if (record->outcome == Outcome::none) {
-            if (jobs_.add(now, *record->spec, item.version) && loaded_) {
+            Job* added = jobs_.add(now, *record->spec, item.version);
+            if (added && !loaded_) {
+                added->in_doubt = true;
+            } else if (added) {
                 note_arrival(now, *record->spec);
                 for (auto& [part, peer] : peers_) {
                     peer.next = 0; // it may have slots where we have none
@@ -245,9 +255,10 @@
                                   });
 }
 
-// Nothing is placed until every machine that may carry a task of an owner before us is accounted
-// for: fenced and listed by its own report, gone by a release, or lapsed by the clock; and until
-// the owner of every other part has accounted in the same way for the tasks of ours there.
+// No task of a job older than this owner is placed until every machine that may carry a task of an
+// owner before us is accounted for: fenced and listed by its own report, gone by a release, or
+// lapsed by the clock; and until the owner of every other part has accounted in the same way for
+// the tasks of ours there.
 void PartOwner::settle(Time now) {
     if (settled_ || !loaded_) {
         return;
@@ -264,6 +275,7 @@
                                    [](const auto& p) { return p.second.inventoried; });
     if (accounted_ && inventoried) {
         settled_ = true;
+        count_doubtful();
         calls_.log(Level::info, "event=part_settled part=" + std::to_string(part_) +
                                     " term=" + std::to_string(term_));
         std::vector<std::string> ids;
@@ -285,6 +297,41 @@
     }
 }
 
+// The tasks of older jobs that no listing has shown yet may run all the same.
+void PartOwner::count_doubtful() {
+    std::map<std::string, std::pair<double, double>> doubtful;
+    for (const auto& [id, job] : jobs_.all()) {
+        if (!settled_ && job->in_doubt) {
+            auto n = static_cast<double>(job->waiting.size());
+            auto& [cpus, gpus] = doubtful[job->spec.team];
+            cpus += n * job->spec.cpus;
+            gpus += n * job->spec.gpus;
+        }
+    }
+    teams_.doubt(doubtful);
+}
+
+// After a takeover, the few machines that neither answer nor come to this owner while the rest do
+// are most likely gone. A release makes that certain long before their leases run out, and until it
+// is certain no older task can be placed.
+void PartOwner::release_missing(Time now) {
+    if (accounted_ || unaccounted_.size() * 2 > machines_.all().size()) {
+        return;
+    }
+    bool all = now - since_ > kTakeoverReports * facts_.report_s;
+    std::vector<std::string> missing;
+    for (const auto& name : unaccounted_) {
+        const Machine* m = machines_.find(name);
+        if (m && !m->reported && !m->releasing && (all || m->unanswered >= kProbes - 1)) {
+            missing.push_back(name);
+        }
+    }
+    if (!missing.empty() && now >= next_release_missing_) {
+        next_release_missing_ = now + facts_.report_s / 6;
+        release(now, missing);
+    }
+}
+
 // An empty direct command under our token: its answer is a listing, and nothing that carries an
 // older token can come after it. The first answer may only tell the session.
 void PartOwner::probe(Time, const std::string& name, int tries) {
@@ -298,6 +345,7 @@
                     if (!machine || !usable_now(at)) {
                         return;
                     }
+                    machine->unanswered = reply.status == 0 ? machine->unanswered + 1 : 0;
                     if (reply.report && reply.report->machine == name) {
                         if (reply.report->session > machine->lapsed_session) {
                             machine->last_report = at;
@@ -603,7 +651,8 @@
                                          const std::string& zone) const {
     // A machine that has the image before one that has to fetch it.
     for (bool warm : {true, false}) {
-        for (const auto& t : types_) {
+        for (const MachineType* type : by_fetch_) {
+            const MachineType& t = *type;
             if (!s.allows_type(t.name)) {
                 continue;
             }
@@ -681,8 +730,8 @@
 // Idle slots go to the tasks that wait, our own and those that other parts want slots for, in
 // one order: priority, guarantee before borrowing, what is due first, arrival.
 bool PartOwner::waits(Time now, const Job& job) const {
-    return settled_ && job.open() && !job.waiting.empty() && now >= job.hold_until &&
-           (job.spec.kind != JobKind::gang || gangs_.may_place(now, job));
+    return (settled_ || (loaded_ && !job.in_doubt)) && job.open() && !job.waiting.empty() &&
+           now >= job.hold_until && (job.spec.kind != JobKind::gang || gangs_.may_place(now, job));
 }
 
 // Gives each job its due time. Where a team cannot meet all of them with the CPUs it has, the job
@@ -785,7 +834,7 @@
 }
 
 void PartOwner::place(Time now) {
-    if (!accounted_ || !usable_now(now) || slots_.empty()) {
+    if (!loaded_ || !usable_now(now) || slots_.empty()) {
         return;
     }
     order_stale_ = true;
@@ -856,7 +905,7 @@
 // whose image the machine has goes before one due a little earlier whose image it would have to
 // fetch: while it is fetched, the slots stand idle.
 void PartOwner::place_on(Time now, Machine& m) {
-    if (!accounted_ || !usable_now(now) || !may_place(m) || m.orders != 0) {
+    if (!loaded_ || !usable_now(now) || !may_place(m) || m.orders != 0) {
         return;
     }
     refresh_order(now);
@@ -1193,6 +1242,15 @@
         double pace =
             s.kind == JobKind::service ? 1 : std::min(1.0, std::max(s.estimate_s, 1.0) / horizon);
         // A task longer than the horizon needs a place of its own.
+        std::vector<std::string> open; // zones that its next task may be placed in
+        for (const auto& zone : facts_.zones) {
+            if (zone_allowed(*job, zone)) {
+                open.push_back(zone);
+            }
+        }
+        if (open.size() == 1 && waiting > 0) {
+            d.bound[open.front()] += waiting * slots;
+        }
         bool bound = s.kind == JobKind::gang || s.one_zone || s.spread || s.zone;
         if (bound && job->waits_since > 0 && now - job->waits_since > kStuckBoots * t.boot_s) {
             // New machines would be there by now: there is room, but not where it is needed. So
@@ -1253,6 +1311,9 @@
         sum.demand.ordinary_slots += peer.demand.ordinary_slots;
         sum.demand.any_slots += peer.demand.any_slots;
         sum.demand.left_slot_s += peer.demand.left_slot_s;
+        for (const auto& [zone, slots] : peer.demand.bound) {
+            sum.demand.bound[zone] += slots;
+        }
         sum.heard = sum.heard && now - peer.heard_at < facts_.report_s;
         sum.ordinary_slots += peer.fleet.ordinary;
         sum.spot_slots += peer.fleet.spot;
@@ -1312,18 +1373,6 @@
     }
     bool may_suspect = accounted_ && now - since_ > machines_.lease_bound_s();
     auto surplus = fleet_.surplus(now, machines_, sum, may_suspect);
-    // After a takeover, the few machines that have not come to this owner while the rest have
-    // are most likely gone. A release makes that certain long before their leases run out, and
-    // until it is certain nothing can be placed.
-    if (!accounted_ && now - since_ > kTakeoverReports * facts_.report_s &&
-        unaccounted_.size() * 2 <= machines_.all().size()) {
-        for (const auto& name : unaccounted_) {
-            const Machine* m = machines_.find(name);
-            if (m && !m->reported && !m->releasing) {
-                surplus.push_back(name);
-            }
-        }
-    }
     if (!surplus.empty() && now >= next_release_) {
         release(now, surplus);
     }
@@ -1491,7 +1540,11 @@
     }
     check_leases(now);
     fence_lots(now);
+    release_missing(now);
     settle(now);
+    if (!settled_) {
+        count_doubtful();
+    }
     tend_gangs(now);
     watch(now);
     for (const auto& [id, job] : jobs_.all()) {
--- a/src/core/part_owner.h
+++ b/src/core/part_owner.h
@@ -51,6 +51,8 @@
     void take_record(Time now, const KeyedRecord& item);
     void watch(Time now);
     void settle(Time now);
+    void release_missing(Time now);
+    void count_doubtful();
     void probe(Time now, const std::string& machine, int tries);
 
     // Machines and placements.
@@ -227,6 +229,7 @@
     const Authority& authority_;
     Calls calls_;
     std::vector<MachineType> types_;
+    std::vector<const MachineType*> by_fetch_; // those that fetch images fastest first
     std::uint64_t term_;
     Time since_;
     JobStore jobs_;
@@ -275,6 +278,7 @@
     Time next_fleet_ = 0;
     Time next_stats_ = 0;
     Time next_release_ = 0;
+    Time next_release_missing_ = 0;
     Time next_save_ = 0;
     Time next_watch_ = 0;
 };
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -10,8 +10,8 @@
 namespace orchidlanding {
 
 namespace {
-struct Room { // for one more task on a machine
-    double lost_s = 0;
+struct Room {          // for one more task on a machine
+    double cost_s = 0; // run time lost, and until the image is there
     Machine* machine = nullptr;
     std::vector<TaskRef> victims;
 };
@@ -34,7 +34,8 @@
     double gpus = m.free_gpus();
     double ram = m.free_ram();
     std::vector<Room> rooms;
-    Room room{0, &m, {}};
+    double fetch_s = m.warm(s.image) ? 0 : s.image_gb / std::max(1e-3, m.type.fetch_gb_per_s);
+    Room room{fetch_s, &m, {}};
     auto next = victims.begin();
     while (rooms.size() < most) {
         if (cpus >= s.cpus && gpus >= s.gpus && ram >= s.ram_gb) {
@@ -42,7 +43,7 @@
             gpus -= s.gpus;
             ram -= s.ram_gb;
             rooms.push_back(std::move(room));
-            room = Room{0, &m, {}};
+            room = Room{fetch_s, &m, {}};
             continue;
         }
         if (next == victims.end()) {
@@ -52,7 +53,7 @@
         cpus += p.cpus;
         gpus += p.gpus;
         ram += p.ram_gb;
-        room.lost_s += next->first;
+        room.cost_s += next->first;
         room.victims.push_back(next->second);
         ++next;
     }
@@ -83,14 +84,14 @@
         // A machine's rooms come in the order of their cost, so the cheapest of all are a
         // consistent choice.
         std::stable_sort(rooms.begin(), rooms.end(), [](const Room& a, const Room& b) {
-            return std::pair(a.lost_s, a.victims.size()) < std::pair(b.lost_s, b.victims.size());
+            return std::pair(a.cost_s, a.victims.size()) < std::pair(b.cost_s, b.victims.size());
         });
         if (rooms.size() > tasks) {
             rooms.resize(tasks);
         }
         double lost = 0;
         for (const auto& room : rooms) {
-            lost += room.lost_s;
+            lost += room.cost_s;
         }
         if ((!whole || rooms.size() == tasks) && !rooms.empty() && (!best || lost < least)) {
             best = &rooms;
@@ -111,13 +112,13 @@
     }
     calls_.log(Level::info, "event=room_made job=" + s.id + " tasks=" + std::to_string(tasks) +
                                 " stopped=" + std::to_string(stopped) +
-                                " lost_s=" + std::to_string(std::llround(least)));
+                                " cost_s=" + std::to_string(std::llround(least)));
     return true;
 }
 
 // For our own gangs and replicas that wait, and for those of peers who have no room of their own.
 void PartOwner::press(Time now) {
-    if (!accounted_ || !usable_now(now)) {
+    if (!loaded_ || !usable_now(now)) {
         return;
     }
     for (auto& [name, m] : machines_.all()) {
--- a/src/core/teams.cpp
+++ b/src/core/teams.cpp
@@ -41,7 +41,7 @@
         return false;
     }
     const Team& t = it->second;
-    return t.facts.allows(t.cpus + cpus, t.gpus + gpus);
+    return t.facts.allows(t.cpus + t.doubtful_cpus + cpus, t.gpus + t.doubtful_gpus + gpus);
 }
 
 bool Teams::within_guarantee(const std::string& team, double cpus, double gpus) const {
@@ -62,6 +62,15 @@
     return std::max(t.facts.amount(t.cpus, t.gpus), t.facts.amount(t.facts.cpus, t.facts.gpus));
 }
 
+void Teams::doubt(const std::map<std::string, std::pair<double, double>>& cpus_and_gpus) {
+    for (auto& [name, t] : teams_) {
+        auto it = cpus_and_gpus.find(name);
+        bool known = it == cpus_and_gpus.end();
+        t.doubtful_cpus = known ? 0 : it->second.first;
+        t.doubtful_gpus = known ? 0 : it->second.second;
+    }
+}
+
 void Teams::use(const std::string& team, double cpus, double gpus) {
     teams_[team].cpus += cpus;
     teams_[team].gpus += gpus;
--- a/src/core/teams.h
+++ b/src/core/teams.h
@@ -14,6 +14,8 @@
     bool within_guarantee(const std::string& team, double cpus, double gpus) const;
     // What the team can count on, in its own measure: its guarantee, or what it has beyond that.
     double expected(const std::string& team) const;
+    // Tasks that may be running somewhere count for the limit until they are accounted for.
+    void doubt(const std::map<std::string, std::pair<double, double>>& cpus_and_gpus);
     void use(const std::string& team, double cpus, double gpus);
     void free(const std::string& team, double cpus, double gpus);
 
@@ -22,6 +24,8 @@
         TeamFacts facts;
         double cpus = 0;
         double gpus = 0;
+        double doubtful_cpus = 0;
+        double doubtful_gpus = 0;
     };
     std::map<std::string, Team> teams_;
 };
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -2,6 +2,7 @@
 
 #include <httplib.h>
 
+#include <algorithm>
 #include <memory>
 
 #include "wire/codec.h"
@@ -12,7 +13,9 @@
 // Threads of each pool. The state pool has room for two watches besides the calls of a burst.
 constexpr std::size_t kStateThreads = 12;
 constexpr std::size_t kCloudThreads = 3;
-constexpr std::size_t kWorkerThreads = 16;
+// Many machines may be silent at once, each holding a thread until its time is up: the others must
+// not wait behind them.
+constexpr int kSocketsAWorkerThread = 40;
 constexpr std::size_t kPeerThreads = 8;
 
 std::unique_ptr<httplib::Client> connect(const std::string& address, double timeout_s) {
@@ -31,7 +34,8 @@
     : endpoints_(std::move(endpoints)), deliver_(std::move(deliver)),
       state_(kStateThreads, 10 * endpoints_.report_s),
       cloud_(kCloudThreads, 2 * endpoints_.report_s),
-      workers_(kWorkerThreads, 2 * endpoints_.report_s),
+      workers_(static_cast<std::size_t>(std::max(16, endpoints_.sockets / kSocketsAWorkerThread)),
+               2 * endpoints_.report_s),
       peers_(kPeerThreads, 2 * endpoints_.report_s) {}
 
 void Clients::send(const Call& call) {
@@ -63,6 +67,9 @@
     std::unique_ptr<httplib::Client> once;
     httplib::Client* client = nullptr;
     double timeout_s = endpoints_.report_s / 2;
+    if (http.service == wire::Service::worker) {
+        timeout_s = endpoints_.report_s / 4;
+    }
     if (http.service == wire::Service::worker || http.service == wire::Service::peer) {
         std::string address = http.endpoint;
         if (http.service == wire::Service::peer) {
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -16,6 +16,7 @@
     std::string cloud;
     std::map<std::string, std::string> peers; // by node
     double report_s = 0;                      // the measure of all timeouts
+    int sockets = 0;                          // the node's limit
 };
 
 class Clients {
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -465,13 +465,25 @@
     field(p, "ordinary_slots", demand.ordinary_slots);
     field(p, "any_slots", demand.any_slots);
     field(p, "left_slot_s", demand.left_slot_s);
+    key(p, "bound");
+    p.pack_array(static_cast<std::uint32_t>(demand.bound.size()));
+    for (const auto& [zone, slots] : demand.bound) {
+        p.pack_map(2);
+        field(p, "zone", zone);
+        field(p, "slots", slots);
+    }
     field(p, "ordinary", fleet.ordinary);
     field(p, "spot", fleet.spot);
 }
-constexpr std::uint32_t kStandingFields = 5;
+constexpr std::uint32_t kStandingFields = 6;
 
 Demand demand_of(const Fields& f) {
-    return {f.amount("ordinary_slots"), f.amount("any_slots"), f.amount("left_slot_s")};
+    Demand d{f.amount("ordinary_slots"), f.amount("any_slots"), f.amount("left_slot_s"), {}};
+    for (const auto* item : f.list("bound")) {
+        Fields b(*item);
+        d.bound[b.text("zone")] = b.amount("slots");
+    }
+    return d;
 }
 
 FleetView fleet_of(const Fields& f) { return {f.amount("ordinary"), f.amount("spot")}; }
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -279,6 +279,27 @@
     EXPECT_FALSE(m.fenced);
 }
 
+// A start into a session that only the answer to a direct command has told of: counted by the lease
+// of the session before, the task would be taken for gone while it runs.
+TEST(MachineTable, ASessionHeardOfByADirectAnswerHasALeaseOfItsOwn) {
+    constexpr std::uint64_t kTerm = 7;
+    MachineTable table(17, 1);
+    Machine& m = table.add(0, "i-1", {"m8", 8, 0, 32, 20, 1, 1, 1, 10, {"a"}}, "a", false);
+    Report r;
+    r.machine = "i-1";
+    r.session = 1;
+    r.tick = 1;
+    r.token = make_token(kTerm, 0);
+    table.listing(0, m, r, kTerm, 0);
+    table.renewed(0, m);
+    r.session = 2;
+    r.tick = 2;
+    table.listing(16, m, r, kTerm, 5);
+    EXPECT_FALSE(table.lapsed(20, m));
+    EXPECT_FALSE(table.lapsed(16 + 17, m));
+    EXPECT_TRUE(table.lapsed(16 + 20, m));
+}
+
 TEST(State, DoneBitsThatAreLostCostNoResult) {
     World w({.run_s = 6});
     bool lose = true;
