--- /dev/null
+++ b/src/wire/records.cpp
@@ -0,0 +1,147 @@
+// What the state service keeps, by kind of key, and the cloud's catalog.
+#include "wire/fields.h"
+
+namespace orchidlanding::wire {
+
+namespace {
+// Bits as hex text, four tasks a character: values may not be binary.
+std::string hex_of(const std::vector<bool>& bits) {
+    static constexpr char kDigits[] = "0123456789abcdef";
+    std::string out;
+    for (std::size_t i = 0; i < bits.size(); i += 4) {
+        int nibble = 0;
+        for (std::size_t j = 0; j < 4 && i + j < bits.size(); ++j) {
+            nibble |= bits[i + j] ? 1 << j : 0;
+        }
+        out.push_back(kDigits[nibble]);
+    }
+    return out;
+}
+
+std::vector<bool> bits_of(const std::string& hex) {
+    std::vector<bool> bits;
+    for (char c : hex) {
+        int nibble = 0;
+        if (c >= '0' && c <= '9') {
+            nibble = c - '0';
+        } else if (c >= 'a' && c <= 'f') {
+            nibble = c - 'a' + 10;
+        } else {
+            throw BadMessage("bits: not hex");
+        }
+        for (int j = 0; j < 4; ++j) {
+            bits.push_back((nibble >> j) & 1);
+        }
+    }
+    return bits;
+}
+
+MachineType type_of(const Fields& f) {
+    MachineType t;
+    t.name = f.text("sku");
+    t.cpus = f.amount("cpus");
+    t.gpus = f.amount("cards");
+    t.ram_gb = f.amount("ram_gb");
+    t.cache_gb = f.amount("cache_gb");
+    t.fetch_gb_per_s = f.amount("pull_gb_per_s");
+    t.price = f.amount("rate");
+    t.spot_price = f.maybe_amount("market_price").value_or(t.price);
+    t.boot_s = f.amount("startup_s");
+    for (const auto* z : f.list("houses")) {
+        t.zones.push_back(Fields::text_of(*z, "houses"));
+    }
+    if (t.cpus <= 0 || t.ram_gb <= 0) {
+        throw BadMessage("catalog: empty machine type");
+    }
+    return t;
+}
+
+void pack_types(Packer& p, const std::vector<MachineType>& types) {
+    p.pack_map(1);
+    key(p, "benches");
+    p.pack_array(static_cast<std::uint32_t>(types.size()));
+    for (const auto& t : types) {
+        p.pack_map(10);
+        field(p, "sku", t.name);
+        field(p, "cpus", t.cpus);
+        field(p, "cards", t.gpus);
+        field(p, "ram_gb", t.ram_gb);
+        field(p, "cache_gb", t.cache_gb);
+        field(p, "pull_gb_per_s", t.fetch_gb_per_s);
+        field(p, "rate", t.price);
+        field(p, "market_price", t.spot_price);
+        field(p, "startup_s", t.boot_s);
+        field(p, "houses", t.zones);
+    }
+}
+} // namespace
+
+std::vector<MachineType> types_of(const Fields& f) {
+    std::vector<MachineType> types;
+    for (const auto* item : f.list("benches")) {
+        types.push_back(type_of(Fields(*item)));
+    }
+    return types;
+}
+
+void pack_record(Packer& p, const Record& record) {
+    if (const auto* job = std::get_if<JobRecord>(&record)) {
+        p.pack_map(job->spec ? 2 : 1);
+        field(p, "outcome", name_of(job->outcome, kOutcomes));
+        if (job->spec) {
+            key(p, "job");
+            pack_job(p, *job->spec);
+        }
+    } else if (const auto* progress = std::get_if<ProgressRecord>(&record)) {
+        p.pack_map(1);
+        field(p, "bits", hex_of(progress->done));
+    } else if (const auto* part = std::get_if<PartRecord>(&record)) {
+        p.pack_map(1);
+        field(p, "node", part->node);
+    } else if (const auto* machine = std::get_if<MachineRecord>(&record)) {
+        p.pack_map(4);
+        field(p, "endpoint", machine->endpoint);
+        field(p, "type", machine->type);
+        field(p, "zone", machine->zone);
+        field(p, "spot", machine->spot);
+    } else if (const auto* catalog = std::get_if<CatalogRecord>(&record)) {
+        pack_types(p, catalog->types);
+    } else {
+        p.pack_nil();
+    }
+}
+
+Record record_of(const std::string& key, const msgpack::object& value) {
+    try {
+        Fields f(value);
+        if (key.starts_with("job/")) {
+            JobRecord r;
+            r.outcome = enum_of<Outcome>(f.text("outcome"), kOutcomes, "outcome");
+            if (const auto* job = f.get("job")) {
+                r.spec = job_of(Fields(*job));
+            }
+            if (!r.spec && r.outcome == Outcome::none) {
+                return Unreadable{};
+            }
+            return r;
+        }
+        if (key.starts_with("done/")) {
+            return ProgressRecord{bits_of(f.text("bits"))};
+        }
+        if (key.starts_with("part/")) {
+            return PartRecord{f.text("node")};
+        }
+        if (key == "catalog") {
+            return CatalogRecord{types_of(f)};
+        }
+        if (key.starts_with("machine/")) {
+            return MachineRecord{f.text("endpoint"), f.text("type"), f.text("zone"),
+                                 f.flag("spot")};
+        }
+    } catch (const BadMessage&) {
+        return Unreadable{};
+    }
+    return Unreadable{};
+}
+
+} // namespace orchidlanding::wire
