--- a/src/core/part_owner.h
+++ b/src/core/part_owner.h
@@ -75,6 +75,7 @@
     // When the job is next expected to have come to something, by the aims of its class.
     Time due(Time now, const Job& job) const;
     static Time late(const Job& job) { return job.known_since + 1e6; }
+    static double left_s(const Job& job);
     void plan(Time now);
     void refresh_order(Time now);
     void find_longest(Time now);
--- a/src/core/parts.h
+++ b/src/core/parts.h
@@ -5,6 +5,10 @@
 
 namespace orchidlanding {
 
+// Prefixes of keys at the state service.
+inline constexpr char kJobs[] = "job/";
+inline constexpr char kProgress[] = "done/";
+
 // Rendezvous hash of the machine's name among the parts whose home node is in its zone; among
 // all parts where the zone has none.
 int part_of_machine(const Facts& facts, const std::string& machine, const std::string& zone);
