--- a/tests/gang_test.cpp
+++ b/tests/gang_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include "core/parts.h"
+#include "core/slot_lists.h"
 #include "world.h"
 
 namespace orchidlanding::test {
@@ -281,5 +282,77 @@
     EXPECT_TRUE(w.broken.empty()) << w.broken.front();
 }
 
+// A full place: without room made for it, the gang would wait until two GPUs of one machine happen
+// to fall free together.
+TEST(Preemption, AGangWithinItsGuaranteeStopsWhatRunsBeyondAnotherTeams) {
+    World w({.run_s = 200, .capacity = 4, .gpus = true});
+    w.run_for(3);
+    w.submit(0, w.job("req-1", 12)); // red is guaranteed 8 GPUs and runs 12
+    JobSpec blue = w.job("req-2", 4);
+    blue.team = "blue";
+    w.submit(0, blue); // the place is full: 16 GPUs
+    w.run_for(40);
+    ASSERT_EQ(w.used("red") + w.used("blue"), 16);
+    JobSpec borrows = gang(w, "req-3", 1, 4); // red runs beyond its guarantee itself
+    w.submit(0, borrows);
+    w.run_for(20);
+    EXPECT_EQ(w.gang_runs("req-3"), 0);
+    w.cancel(0, "req-2");
+    w.run_for(1);
+    JobSpec within = gang(w, "req-4", 1, 4); // blue is guaranteed 4
+    within.team = "blue";
+    w.submit(0, within);
+    w.run_for(12);
+    EXPECT_EQ(w.gang_runs("req-4"), 1);
+    EXPECT_GE(w.used("red"), 8);
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+}
+
+// Whatever an owner before us started, it was not a job that did not exist yet.
+TEST(Takeover, AJobThatComesAfterItRunsWhileOlderTasksAreStillInDoubt) {
+    World w({.run_s = 60, .limits = 2, .gpus = true});
+    w.run_for(3);
+    JobSpec other = w.job("req-1", 32);
+    other.team = "blue";
+    w.submit(0, other);
+    w.submit(0, w.job("req-2", 4));
+    w.run_for(30);
+    int owner = w.owner(part_of_team(w.facts(0), "red"));
+    w.cloud_down(true);
+    w.cancel(1, "req-1"); // so that every part has idle slots
+    w.run_for(1);
+    w.crash(owner, 1);
+    for (int n = 0; n < 3; ++n) { // no listing of other parts arrives
+        w.cut_peers(owner, n, n != owner);
+    }
+    w.run_for(6);
+    w.submit((owner + 1) % 3, w.job("req-3", 1));
+    w.run_for(8);
+    EXPECT_GE(w.starts({"req-3", 0}), 1);
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+}
+
+TEST(Parts, TeamsThatStateOnlyGpusAreSpreadByThem) {
+    Facts f;
+    f.parts = {{"n0", "a"}, {"n1", "a"}, {"n2", "b"}};
+    f.teams = {{"w", 0, 0, 1000, 2500},
+               {"x", 0, 0, 1200, 4000},
+               {"y", 0, 0, 700, 2500},
+               {"z", 0, 0, 800, 3000}};
+    EXPECT_EQ(part_of_team(f, "x"), 0);
+    EXPECT_EQ(part_of_team(f, "w"), 1);
+    EXPECT_EQ(part_of_team(f, "z"), 2);
+    EXPECT_EQ(part_of_team(f, "y"), 2);
+}
+
+TEST(Slots, OfAGpuMachineAreItsGpus) {
+    MachineType t{"g2", 16, 2, 96, 0, 0, 0, 0, 0, {}};
+    EXPECT_EQ(slots_needed(t, 5, 1, 29), 1);
+    EXPECT_EQ(slots_needed(t, 14, 1, 29), 2); // by its CPUs
+    EXPECT_EQ(slots_listed(t, 14, 1, 29), 1); // yet one GPU is enough to look
+    EXPECT_EQ(slots_listed(t, 4, 0, 8), 0);   // a task without GPUs fits beside tasks with
+    EXPECT_EQ(slots_idle(2, 1, 60, t), 1);
+}
+
 } // namespace
 } // namespace orchidlanding::test
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -142,5 +142,48 @@
     EXPECT_EQ(wire::decode_reply(1, Txn{}, 503, "junk").status, 503);
 }
 
+Exchange asks_for_a_gang() {
+    Exchange e;
+    e.term = 5;
+    Want w;
+    w.job = "req-1";
+    w.kind = JobKind::gang;
+    w.attempt = 77;
+    w.members = {0, 2};
+    w.count = 2;
+    w.gang_tasks = 3;
+    w.gpus = 2;
+    w.one_zone = true;
+    w.preempt = true;
+    e.wants.push_back(w);
+    e.told.push_back({Told::What::stop, "i-1", {77, 2}, 4.5, JobKind::gang});
+    e.demand.bound["a"] = 6;
+    return e;
+}
+
+TEST(Wire, WhatIsAskedForAGangComesThrough) {
+    Exchange e = wire::parse_exchange(wire::encode_call(PeerCall{"n1", asks_for_a_gang()}).body);
+    ASSERT_EQ(e.wants.size(), 1u);
+    EXPECT_EQ(e.wants[0].attempt, 77u);
+    EXPECT_EQ(e.wants[0].members, (std::vector<std::uint32_t>{0, 2}));
+    EXPECT_EQ(e.wants[0].gang_tasks, 3u);
+    EXPECT_TRUE(e.wants[0].one_zone && e.wants[0].preempt && !e.wants[0].partial);
+    ASSERT_EQ(e.told.size(), 1u);
+    EXPECT_EQ(e.told[0].id, (StartId{77, 2}));
+    EXPECT_EQ(e.told[0].grace_s, 4.5);
+    EXPECT_EQ(e.demand.bound.at("a"), 6);
+}
+
+TEST(Wire, RefusesAGangWhoseAttemptAndMembersDoNotGoTogether) {
+    for (auto spoil : std::vector<std::function<void(Want&)>>{
+             [](Want& w) { w.attempt = 0; }, [](Want& w) { w.members.pop_back(); },
+             [](Want& w) { w.kind = JobKind::array; }, [](Want& w) { w.members[0] = 100000; }}) {
+        Exchange e = asks_for_a_gang();
+        spoil(e.wants[0]);
+        std::string body = wire::encode_call(PeerCall{"n1", e}).body;
+        EXPECT_THROW(wire::parse_exchange(body), wire::BadMessage);
+    }
+}
+
 } // namespace
 } // namespace orchidlanding::test
