--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -248,16 +248,26 @@
     EXPECT_FALSE(w.machines_up().empty());
 }
 
-TEST(MachineTable, ADirectStartIsGoneOnlyUnderAHigherToken) {
-    constexpr std::uint64_t kTerm = 7;
-    MachineTable table(17, 1);
+constexpr std::uint64_t kTerm = 7;
+
+// A machine of a lease of 17 s that has just reported for the first time, with that report.
+struct OneMachine {
+    MachineTable table{17, 1};
     Machine& m = table.add(0, "i-1", {"m8", 8, 0, 32, 20, 1, 1, 1, 10, {"a"}}, "a", false);
     Report r;
-    r.machine = "i-1";
-    r.session = 1;
-    r.tick = 1;
-    r.token = make_token(kTerm, 0);
-    table.listing(0, m, r, kTerm, 0);
+
+    OneMachine() {
+        r.machine = "i-1";
+        r.session = 1;
+        r.tick = 1;
+        r.token = make_token(kTerm, 0);
+        table.listing(0, m, r, kTerm, 0);
+    }
+};
+
+TEST(MachineTable, ADirectStartIsGoneOnlyUnderAHigherToken) {
+    OneMachine one;
+    auto& [table, m, r] = one;
     EXPECT_TRUE(m.fenced);
     TaskRef task{"req-1", 0};
     Placement p;
@@ -282,15 +292,8 @@
 // A start into a session that only the answer to a direct command has told of: counted by the lease
 // of the session before, the task would be taken for gone while it runs.
 TEST(MachineTable, ASessionHeardOfByADirectAnswerHasALeaseOfItsOwn) {
-    constexpr std::uint64_t kTerm = 7;
-    MachineTable table(17, 1);
-    Machine& m = table.add(0, "i-1", {"m8", 8, 0, 32, 20, 1, 1, 1, 10, {"a"}}, "a", false);
-    Report r;
-    r.machine = "i-1";
-    r.session = 1;
-    r.tick = 1;
-    r.token = make_token(kTerm, 0);
-    table.listing(0, m, r, kTerm, 0);
+    OneMachine one;
+    auto& [table, m, r] = one;
     table.renewed(0, m);
     r.session = 2;
     r.tick = 2;
