Siblings' promises outlive a state outage; polls confirmed many at a time

Each poll cost one read.

Promises: while the state service does not answer, an owner asks all siblings to leave its home part alone, counts from the sending of the question, and goes on while all have promised; a sibling promises only without the state service itself, honours what it may have forgotten after a start, and names the jobs that users were told are cancelled. A node whose siblings cannot reach the service either stays ready and answers 503 with Retry-After; one that alone is cut off says so at once. PollDesk: one compare-only transaction confirms the versions of up to 4 * txn_ops open jobs; polls of an unknown job share a read; JobIndex knows versions from every read, write and watch.

--- a/src/core/authority.cpp
+++ b/src/core/authority.cpp
@@ -16,7 +16,13 @@
 void Authority::lost() {
     lease_ = 0;
     valid_until_ = 0;
+    promised_until_ = 0;
     terms_.clear();
 }
 
+void Authority::promised(int part, Time until) {
+    promised_part_ = part;
+    promised_until_ = until;
+}
+
 } // namespace orchidlanding
--- a/src/core/authority.h
+++ b/src/core/authority.h
@@ -17,13 +17,21 @@
     double ttl_s() const { return ttl_s_; }
     std::uint64_t lease() const { return lease_; }
     bool has_lease() const { return lease_ != 0; }
-    // May commands and new answers go out now?
+    // Does the node's lease hold?
     bool valid(Time now) const { return lease_ != 0 && now < valid_until_; }
+    // May commands and new answers go out now for a part that is held? Under the lease, or under
+    // the promises of all siblings, which cover one part only.
+    bool valid(Time now, int part) const {
+        return valid(now) ||
+               (lease_ != 0 && part == promised_part_ && holds(part) && now < promised_until_);
+    }
 
     void granted(std::uint64_t lease, Time sent);
     // Counted from the sending of the renewal: the lease cannot end earlier than that.
     void renewed(Time sent);
     void lost();
+    // No sibling claims the part before then, by this node's clock.
+    void promised(int part, Time until);
 
     bool holds(int part) const { return terms_.contains(part); }
     std::uint64_t term(int part) const { return terms_.at(part); }
@@ -34,6 +42,8 @@
     double ttl_s_;
     std::uint64_t lease_ = 0;
     Time valid_until_ = 0;
+    int promised_part_ = -1;
+    Time promised_until_ = 0;
     std::map<int, std::uint64_t> terms_;
 };
 
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -18,7 +18,14 @@
 Controller::Controller(const Facts& facts, const Policy& policy)
     : facts_(facts), policy_(policy),
       budget_(facts.state_rps, facts.state_write_rps, static_cast<int>(facts.parts.size())),
-      calls_(budget_, 1), authority_(policy.part_lease_s), desk_(facts_, calls_),
+      calls_(budget_, 1), authority_(policy.part_lease_s), desk_(facts_, calls_, index_),
+      polls_(facts_, calls_, index_,
+             [this](const std::string& id, std::uint32_t& done, std::uint32_t& running) {
+                 return std::any_of(owners_.begin(), owners_.end(), [&](const auto& owner) {
+                     return owner.second->counts(id, done, running);
+                 });
+             }),
+      promises_(facts_, policy.part_lease_s, calls_, authority_, index_),
       parts_(facts.parts.size()) {}
 
 double Controller::tick_s() const { return facts_.report_s / 12; }
@@ -38,26 +45,18 @@
     if (auto* submit = std::get_if<Submit>(&input)) {
         desk_.submit(now, *submit, types_);
     } else if (auto* poll = std::get_if<Poll>(&input)) {
-        desk_.poll(now, *poll,
-                   [this](const std::string& id, std::uint32_t& done, std::uint32_t& running) {
-                       for (auto& [part, owner] : owners_) {
-                           if (owner->counts(id, done, running)) {
-                               return true;
-                           }
-                       }
-                       return false;
-                   });
+        polls_.poll(now, poll->request, poll->job);
     } else if (auto* cancel = std::get_if<Cancel>(&input)) {
         desk_.cancel(now, *cancel);
     } else if (auto* ready = std::get_if<ReadyProbe>(&input)) {
-        // A node that the state service does not answer can serve nobody; one that missed an
-        // answer or two may still.
-        bool ok = !types_.empty() && now - state_answered_ < facts_.lease_s / 3;
+        bool ok = can_serve(now);
         calls_.answer(ready->request, ok ? 200 : 503, Plain{ok ? "ready" : "not ready"});
     } else if (auto* report = std::get_if<WorkerReport>(&input)) {
         on_report(now, *report);
     } else if (auto* exchange = std::get_if<PeerExchange>(&input)) {
         on_exchange(now, *exchange);
+    } else if (auto* promise = std::get_if<PeerPromise>(&input)) {
+        on_promise(now, *promise);
     } else if (auto* reply = std::get_if<CallReply>(&input)) {
         if (!calls_.answered(now, *reply)) {
             for (auto& [part, owner] : owners_) {
@@ -69,6 +68,7 @@
     } else {
         tick(now);
     }
+    polls_.flush(now);
     Outputs out;
     collect(now, out);
     return out;
@@ -156,6 +156,49 @@
     }
 }
 
+void Controller::on_promise(Time now, const PeerPromise& in) {
+    int part = in.ask.part;
+    if (part < 0 || part >= static_cast<int>(parts_.size())) {
+        calls_.answer(in.request, 400, Plain{"no such part"});
+        return;
+    }
+    bool after = authority_.holds(part) || parts_[static_cast<std::size_t>(part)].claiming;
+    calls_.answer(in.request, 200, promises_.answer(now, in.ask, after, started_, state_answered_));
+}
+
+// While the state service does not answer: what do the siblings say?
+void Controller::ask_siblings(Time now) {
+    if (state_answered_ < 0) {
+        return; // it has nothing yet that could go on
+    }
+    auto home = owners_.find(facts_.home);
+    Time complete = home == owners_.end() ? state_answered_
+                                          : std::min(state_answered_, home->second->complete_to());
+    promises_.tick(now, state_answered_, complete, [this](Time at, const std::string& job) {
+        index_.saw_final(at, job, Outcome::cancelled);
+        for (auto& [part, owner] : owners_) {
+            owner->cancelled(at, job);
+        }
+    });
+}
+
+// A node that the state service does not answer can serve nobody, and users are better off
+// elsewhere if it alone is cut off. If all are, there is no elsewhere: a node that says so would
+// only be slow to come back, as the load balancer lets it wait.
+bool Controller::can_serve(Time now) const {
+    if (types_.empty() || state_answered_ < 0) {
+        return false;
+    }
+    double silent = now - state_answered_;
+    if (silent < facts_.report_s / 2) {
+        return true;
+    }
+    if (promises_.alone(now)) {
+        return false;
+    }
+    return silent < facts_.lease_s / 3 || promises_.outage_is_everyones(now);
+}
+
 void Controller::tick(Time now) {
     if (types_.empty() && !fetching_ && now >= next_catalog_) {
         fetch_catalog(now);
@@ -170,6 +213,7 @@
     }
     watch_parts(now);
     ask_back(now);
+    ask_siblings(now);
     std::size_t reporting = 0;
     int unanswered = 0;
     for (const auto& [part, owner] : owners_) {
@@ -329,7 +373,7 @@
         bool gone = s.version == 0 && (part == facts_.home ||
                                        (now - started_ > 2 * facts_.report_s && !s.home_waits));
         if ((mine || gone) && authority_.valid(now) && !types_.empty() && now >= abstain_until_ &&
-            !s.claiming) {
+            !s.claiming && promises_.may_claim(now, part, started_)) {
             claim(now, part);
         }
     }
@@ -382,8 +426,8 @@
             state.version = reply.revision;
             calls_.log(Level::info, "event=part_claimed part=" + std::to_string(part) +
                                         " term=" + std::to_string(reply.revision));
-            owners_[part] =
-                std::make_unique<PartOwner>(at, part, facts_, policy_, authority_, budget_, types_);
+            owners_[part] = std::make_unique<PartOwner>(at, part, facts_, policy_, authority_,
+                                                        budget_, index_, types_);
         });
 }
 
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -4,6 +4,8 @@
 #include <memory>
 
 #include "core/part_owner.h"
+#include "core/poll_desk.h"
+#include "core/promises.h"
 #include "core/user_desk.h"
 
 namespace orchidlanding {
@@ -42,6 +44,9 @@
     void drop(int part, const char* why);
     void on_report(Time now, const WorkerReport& in);
     void on_exchange(Time now, const PeerExchange& in);
+    void on_promise(Time now, const PeerPromise& in);
+    void ask_siblings(Time now);
+    bool can_serve(Time now) const;
     void collect(Time now, Outputs& out);
 
     Facts facts_;
@@ -49,7 +54,10 @@
     StateBudget budget_;
     Calls calls_;
     Authority authority_;
+    JobIndex index_;
     UserDesk desk_;
+    PollDesk polls_;
+    Promises promises_;
     std::map<int, std::unique_ptr<PartOwner>> owners_;
     std::vector<PartState> parts_;
     std::vector<MachineType> types_;
@@ -70,7 +78,7 @@
     Time worker_heard_ = 0;
     Time abstain_until_ = 0;
     double abstain_leases_ = kAbstainLeases; // doubles while no worker is heard
-    Time state_answered_ = 0;                // the last answer that was the state service's own
+    Time state_answered_ = -1e9;             // the last answer that was the state service's own
 };
 
 } // namespace orchidlanding
--- a/src/core/io.h
+++ b/src/core/io.h
@@ -141,6 +141,24 @@
     Exchange exchange;
 };
 
+// A node that the state service does not answer asks its siblings how they fare, and to leave its
+// part alone for a while: see promises.h.
+struct PromiseAsk {
+    int part = 0;           // the home part of the node that asks
+    std::uint64_t term = 0; // of its claim; 0: it holds none and only asks how the sibling fares
+    double for_s = 0;       // counted by the sibling from the coming of the question
+    double silent_s = 0;    // since what the asking node knows of cancelled jobs was complete
+};
+struct PromiseReply {
+    bool reaches = false;               // the sibling has the state service
+    bool given = false;                 // it will not claim the part
+    std::vector<std::string> cancelled; // that the asking node may have missed
+};
+struct PeerPromise {
+    RequestId request = 0;
+    PromiseAsk ask;
+};
+
 // Calls to the state service and to the cloud.
 struct Get {
     std::string key;
@@ -199,8 +217,12 @@
     std::string node;
     Exchange exchange;
 };
+struct PromiseCall {
+    std::string node;
+    PromiseAsk ask;
+};
 using CallBody = std::variant<Get, Range, Txn, GrantLease, Renew, Watch, Catalog, ListHosts, Rent,
-                              Release, Orders, PeerCall>;
+                              Release, Orders, PeerCall, PromiseCall>;
 
 // The answer to a call; status 0 is no answer at all.
 struct CallReply {
@@ -217,10 +239,11 @@
     std::vector<std::string> names;
     std::optional<Report> report;
     std::optional<ExchangeReply> exchange;
+    std::optional<PromiseReply> promise;
 };
 struct Tick {};
-using Input =
-    std::variant<Tick, Submit, Poll, Cancel, ReadyProbe, WorkerReport, PeerExchange, CallReply>;
+using Input = std::variant<Tick, Submit, Poll, Cancel, ReadyProbe, WorkerReport, PeerExchange,
+                           PeerPromise, CallReply>;
 
 // Outputs.
 struct JobAnswer {
@@ -239,7 +262,8 @@
 struct Plain {
     std::string text;
 };
-using AnswerBody = std::variant<Plain, JobAnswer, ReportAnswer, Redirect, ExchangeReply>;
+using AnswerBody =
+    std::variant<Plain, JobAnswer, ReportAnswer, Redirect, ExchangeReply, PromiseReply>;
 struct Answer {
     RequestId request = 0;
     int status = 0;
--- /dev/null
+++ b/src/core/job_index.cpp
@@ -0,0 +1,58 @@
+#include "core/job_index.h"
+
+namespace orchidlanding {
+
+namespace {
+constexpr std::size_t kCancelled = 1000; // well under 64 KiB when told
+}
+
+void JobIndex::saw(Time now, const std::string& id, std::uint64_t version, const Record& record) {
+    const auto* job = std::get_if<JobRecord>(&record);
+    if (!job) { // cannot be read: whoever polls it is to find out for himself
+        open_.erase(id);
+    } else if (job->outcome != Outcome::none) {
+        saw_final(now, id, job->outcome);
+    } else if (!final_.find(id)) {
+        const std::uint64_t* known = open_.find(id);
+        if (!known || *known < version) {
+            open_.put(id, version);
+        }
+    }
+}
+
+void JobIndex::saw_final(Time now, const std::string& id, Outcome outcome) {
+    open_.erase(id);
+    if (!final_.find(id)) {
+        final_.put(id, outcome);
+        if (outcome == Outcome::cancelled) {
+            cancelled_.emplace_back(now, id);
+        }
+        if (cancelled_.size() > kCancelled) {
+            cancelled_floor_ = cancelled_.front().first;
+            cancelled_.pop_front();
+        }
+    }
+}
+
+std::optional<std::vector<std::string>> JobIndex::cancelled_since(Time when) const {
+    if (when <= cancelled_floor_) {
+        return std::nullopt;
+    }
+    std::vector<std::string> out;
+    for (auto it = cancelled_.rbegin(); it != cancelled_.rend() && it->first >= when; ++it) {
+        out.push_back(it->second);
+    }
+    return out;
+}
+
+std::optional<std::uint64_t> JobIndex::version(const std::string& id) const {
+    const std::uint64_t* known = open_.find(id);
+    return known ? std::optional(*known) : std::nullopt;
+}
+
+std::optional<Outcome> JobIndex::outcome(const std::string& id) const {
+    const Outcome* known = final_.find(id);
+    return known ? std::optional(*known) : std::nullopt;
+}
+
+} // namespace orchidlanding
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -32,12 +32,13 @@
 } // namespace
 
 PartOwner::PartOwner(Time now, int part, const Facts& facts, const Policy& policy,
-                     const Authority& authority, StateBudget& budget,
+                     const Authority& authority, StateBudget& budget, JobIndex& index,
                      const std::vector<MachineType>& types)
-    : part_(part), facts_(facts), policy_(policy), authority_(authority),
+    : part_(part), facts_(facts), policy_(policy), authority_(authority), index_(index),
       calls_(budget, (authority.term(part) << 32) + 1), types_(types), term_(authority.term(part)),
       since_(now), jobs_(chunk_tasks(facts)), machines_(facts.lease_s, facts.lease_s * kMargin),
-      teams_(facts.teams), gangs_(facts.gang_wait_s), fleet_(facts, policy, authority.term(part)) {
+      teams_(facts.teams), gangs_(facts.gang_wait_s), fleet_(facts, policy, authority.term(part)),
+      watched_at_(now) {
     for (int p = 0; p < static_cast<int>(facts_.parts.size()); ++p) {
         if (p != part_) {
             peers_[p].batch = policy_.steal_batch;
@@ -502,6 +503,7 @@
                                           }
                                           if (wrote(reply, "outcome")) {
                                               calls_.log(Level::info, "event=job_done job=" + id);
+                                              index_.saw_final(at, id, Outcome::done);
                                               jobs_.final(id, Outcome::done);
                                               drop_job(id);
                                           } else if (reply.status == 409 && !deposed_) {
--- a/src/core/part_owner.h
+++ b/src/core/part_owner.h
@@ -8,6 +8,7 @@
 #include "core/calls.h"
 #include "core/fleet.h"
 #include "core/gangs.h"
+#include "core/job_index.h"
 #include "core/job_store.h"
 #include "core/machine_table.h"
 #include "core/slot_lists.h"
@@ -21,7 +22,7 @@
 class PartOwner {
   public:
     PartOwner(Time now, int part, const Facts& facts, const Policy& policy,
-              const Authority& authority, StateBudget& budget,
+              const Authority& authority, StateBudget& budget, JobIndex& index,
               const std::vector<MachineType>& types);
 
     void report(Time now, RequestId request, const Report& report);
@@ -42,6 +43,10 @@
     bool counts(const std::string& job, std::uint32_t& done, std::uint32_t& running);
     // The claim turned out to be gone (a write was refused).
     bool deposed() const { return deposed_; }
+    // All jobs cancelled up to then are known here.
+    Time complete_to() const { return watched_at_; }
+    // A sibling has seen the job cancelled.
+    void cancelled(Time now, const std::string& id);
     int part() const { return part_; }
 
   private:
@@ -145,7 +150,7 @@
     void note_guests(const std::string& name, Machine* machine);
     void adopt_guests(Time now, Machine& machine);
     void fence_lots(Time now);
-    bool usable_now(Time now) const { return authority_.valid(now) && !deposed_; }
+    bool usable_now(Time now) const { return authority_.valid(now, part_) && !deposed_; }
     // Gangs (gang_placing.cpp): all tasks of an attempt start together or none does.
     bool place_gang(Time now, bool spot, Job& job);
     bool lend_gang(Time now, bool spot, int thief, Want& want);
@@ -209,7 +214,6 @@
     void save_progress(Time now);
     void finish_job(Time now, Job& job);
     void reread_job(Time now, const std::string& id);
-    void cancelled(Time now, const std::string& id);
     void forget_if_over(const std::string& id);
     void drop_job(const std::string& id);
 
@@ -228,6 +232,7 @@
     Facts facts_;
     Policy policy_;
     const Authority& authority_;
+    JobIndex& index_; // the node's, told of each job record that this owner sees
     Calls calls_;
     std::vector<MachineType> types_;
     std::vector<const MachineType*> by_fetch_; // those that fetch images fastest first
@@ -272,6 +277,7 @@
     bool settled_ = false;
     bool deposed_ = false;
     bool watching_ = false;
+    Time watched_at_;
     bool saving_ = false;
     bool listing_ = false;
     std::set<std::string> unaccounted_; // roster machines that may carry tasks we do not know
--- /dev/null
+++ b/src/core/poll_desk.h
@@ -0,0 +1,56 @@
+// Answers polls, each as fresh as a read of its own, for a fraction of a request: polls of jobs
+// that were seen open wait a moment for each other, and one transaction that only compares confirms
+// the versions of all of them ("POST /txn" in the protocol: without `then`). Polls of a job that is
+// not known here share a read. See "Polls" in docs/design.md for why no answer is too old.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+
+#include "core/calls.h"
+#include "core/job_index.h"
+
+namespace orchidlanding {
+
+class PollDesk {
+  public:
+    // Tasks done and running as the owner knows them; false: this node is not the owner.
+    using Counts = std::function<bool(const std::string&, std::uint32_t&, std::uint32_t&)>;
+    PollDesk(const Facts& facts, Calls& calls, JobIndex& index, Counts counts);
+
+    void poll(Time now, RequestId request, const std::string& job);
+    // Sends what has gathered. To be called after every input.
+    void flush(Time now);
+
+  private:
+    struct Waiting {
+        RequestId request = 0;
+        std::string job;
+        Time since = 0;
+    };
+    struct Read {
+        std::vector<RequestId> requests; // came before it was sent
+        std::vector<RequestId> later;    // came after that: it does not answer them
+    };
+    bool answer_final(RequestId request, const std::string& job);
+    void answer_open(RequestId request, const std::string& job);
+    void confirm(Time now);
+    void confirmed(Time now, const std::vector<Waiting>& asked, const CallReply& reply);
+    void read(Time now, const std::string& job, std::vector<RequestId> requests);
+    void has_read(Time now, const std::string& job, const CallReply& reply);
+    void busy(RequestId request) { calls_.answer(request, 503, Plain{"state service"}, 1); }
+
+    Calls& calls_;
+    JobIndex& index_;
+    Counts counts_;
+    std::size_t most_keys_; // that one transaction compares
+    double gather_s_;       // between two of them that are not full
+    double longest_wait_s_; // for the budget
+    std::deque<Waiting> waiting_;
+    std::map<std::string, Read> reads_; // under way, by job
+    Time next_ = 0;
+    Time blocked_until_ = 0; // the budget had nothing left
+};
+
+} // namespace orchidlanding
--- a/src/core/takeover.cpp
+++ b/src/core/takeover.cpp
@@ -73,6 +73,7 @@
     if (item.key.starts_with(kJobs)) {
         const auto* record = std::get_if<JobRecord>(&item.record);
         std::string id = item.key.substr(sizeof(kJobs) - 1);
+        index_.saw(now, id, item.version, item.record);
         if (!record || (record->outcome != Outcome::done && !record->spec)) {
             calls_.log(Level::error, "event=unreadable_record key=" + item.key);
             return;
@@ -147,6 +148,7 @@
                                   [this](Time at, CallReply& reply) {
                                       watching_ = false;
                                       if (reply.status == 200) {
+                                          watched_at_ = at;
                                           watch_from_ = std::max(watch_from_, reply.revision);
                                           for (const auto& item : reply.items) {
                                               take_record(at, item);
--- a/src/core/user_desk.cpp
+++ b/src/core/user_desk.cpp
@@ -2,12 +2,12 @@
 
 #include <algorithm>
 
+#include "core/parts.h"
+
 namespace orchidlanding {
 
 namespace {
-constexpr std::size_t kFinals = 10000;
-
-std::string key_of(const std::string& job) { return "job/" + job; }
+std::string key_of(const std::string& job) { return kJobs + job; }
 
 const char* stage_of(Outcome outcome) {
     switch (outcome) {
@@ -36,22 +36,12 @@
     return fits ? "" : "fits no allowed machine type";
 }
 
-void UserDesk::remember(const std::string& id, Outcome outcome) {
-    if (finals_.emplace(id, outcome).second) {
-        finals_order_.push_back(id);
-        if (finals_order_.size() > kFinals) {
-            finals_.erase(finals_order_.front());
-            finals_order_.pop_front();
-        }
-    }
-}
-
 bool UserDesk::answer_final(RequestId request, const std::string& id, int status) {
-    auto it = finals_.find(id);
-    if (it == finals_.end()) {
+    auto outcome = index_.outcome(id);
+    if (!outcome) {
         return false;
     }
-    calls_.answer(request, status, JobAnswer{id, stage_of(it->second), {}, {}});
+    calls_.answer(request, status, JobAnswer{id, stage_of(*outcome), {}, {}});
     return true;
 }
 
@@ -91,71 +81,59 @@
     Txn txn;
     txn.when.push_back({key_of(spec.id), 0});
     txn.then.push_back({key_of(spec.id), JobRecord{Outcome::none, spec}, {}});
-    bool sent = calls_.send_state(
-        now, StateBudget::Use::user, std::move(txn),
-        [this, request, id = spec.id](Time at, CallReply& reply) {
-            if (reply.status == 200) {
-                calls_.answer(request, 201, JobAnswer{id, "pending", {}, {}});
-            } else if (reply.status == 409) {
-                read(at, StateBudget::Use::user, request, id, [=, this](Time, const KeyedRecord&) {
-                    calls_.answer(request, 200, JobAnswer{id, "pending", {}, {}});
-                });
-            } else {
-                busy(request);
-            }
-        });
+    bool sent =
+        calls_.send_state(now, StateBudget::Use::user, std::move(txn),
+                          [this, request, id = spec.id](Time at, CallReply& reply) {
+                              if (reply.status == 200) {
+                                  index_.saw(at, id, reply.revision, JobRecord{});
+                                  calls_.answer(request, 201, JobAnswer{id, "pending", {}, {}});
+                              } else if (reply.status == 409) {
+                                  read(at, request, id, [=, this](Time, const KeyedRecord&) {
+                                      calls_.answer(request, 200, JobAnswer{id, "pending", {}, {}});
+                                  });
+                              } else {
+                                  busy(request);
+                              }
+                          });
     if (!sent) {
         busy(request);
     }
 }
 
-void UserDesk::read(Time now, StateBudget::Use use, RequestId request, const std::string& id,
-                    Open then) {
-    bool sent = calls_.send_state(
-        now, use, Get{key_of(id)}, [this, request, id, then](Time at, CallReply& reply) {
-            if (reply.status == 404) {
-                calls_.answer(request, 404, Plain{"no such job"});
-                return;
-            }
-            if (reply.status != 200 || reply.items.empty()) {
-                busy(request);
-                return;
-            }
-            const auto* record = std::get_if<JobRecord>(&reply.items[0].record);
-            if (!record) {
-                calls_.log(Level::error, "event=unreadable_record key=" + key_of(id));
-                busy(request);
-            } else if (record->outcome != Outcome::none) {
-                remember(id, record->outcome);
-                answer_final(request, id, 200);
-            } else {
-                then(at, reply.items[0]);
-            }
-        });
+void UserDesk::read(Time now, RequestId request, const std::string& id, Open then) {
+    bool sent = calls_.send_state(now, StateBudget::Use::user, Get{key_of(id)},
+                                  [this, request, id, then](Time at, CallReply& reply) {
+                                      if (reply.status == 404) {
+                                          calls_.answer(request, 404, Plain{"no such job"});
+                                          return;
+                                      }
+                                      if (reply.status != 200 || reply.items.empty()) {
+                                          busy(request);
+                                          return;
+                                      }
+                                      const KeyedRecord& item = reply.items[0];
+                                      index_.saw(at, id, item.version, item.record);
+                                      const auto* record = std::get_if<JobRecord>(&item.record);
+                                      if (!record) {
+                                          calls_.log(Level::error,
+                                                     "event=unreadable_record key=" + key_of(id));
+                                          busy(request);
+                                      } else if (record->outcome != Outcome::none) {
+                                          answer_final(request, id, 200);
+                                      } else {
+                                          then(at, item);
+                                      }
+                                  });
     if (!sent) {
         busy(request);
     }
 }
 
-void UserDesk::poll(Time now, const Poll& poll, const Counts& counts) {
-    if (answer_final(poll.request, poll.job, 200)) {
-        return;
-    }
-    read(now, StateBudget::Use::poll, poll.request, poll.job,
-         [this, poll, counts](Time, const KeyedRecord&) {
-             std::uint32_t done = 0;
-             std::uint32_t running = 0;
-             counts(poll.job, done, running);
-             calls_.answer(poll.request, 200,
-                           JobAnswer{poll.job, running > 0 ? "running" : "pending", done, running});
-         });
-}
-
 void UserDesk::cancel(Time now, const Cancel& cancel, int tries_left) {
     if (answer_final(cancel.request, cancel.job, 200)) {
         return;
     }
-    read(now, StateBudget::Use::user, cancel.request, cancel.job,
+    read(now, cancel.request, cancel.job,
          [this, cancel, tries_left](Time at, const KeyedRecord& item) {
              JobRecord record = std::get<JobRecord>(item.record);
              record.outcome = Outcome::cancelled;
@@ -166,7 +144,7 @@
                  calls_.send_state(at, StateBudget::Use::user, std::move(txn),
                                    [this, cancel, tries_left](Time later, CallReply& reply) {
                                        if (reply.status == 200) {
-                                           remember(cancel.job, Outcome::cancelled);
+                                           index_.saw_final(later, cancel.job, Outcome::cancelled);
                                            answer_final(cancel.request, cancel.job, 200);
                                        } else if (reply.status == 409 && tries_left > 0) {
                                            this->cancel(later, cancel, tries_left - 1);
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -90,6 +90,14 @@
                 refuse(res, 400, bad.what());
             }
         });
+        http_->Post(wire::kPromisePath, [this, timeout_s](const httplib::Request& req,
+                                                          httplib::Response& res) {
+            try {
+                reply(res, loop_.ask(PeerPromise{0, wire::parse_promise_ask(req.body)}, timeout_s));
+            } catch (const wire::BadMessage& bad) {
+                refuse(res, 400, bad.what());
+            }
+        });
         return;
     }
     http_->Post(wire::kJobsPath,
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -110,6 +110,8 @@
         }
     } else if (const auto* exchange = std::get_if<ExchangeReply>(&body)) {
         pack_exchange_reply(p, *exchange);
+    } else if (const auto* promise = std::get_if<PromiseReply>(&body)) {
+        pack_promise_reply(p, *promise);
     } else {
         p.pack_map(1);
         field(p, "error", std::get<Plain>(body).text);
@@ -205,6 +207,12 @@
         out.path = kPeerPath;
         out.endpoint = peer->node;
         pack_exchange(p, peer->exchange);
+    } else if (const auto* promise = std::get_if<PromiseCall>(&call)) {
+        out.service = Service::peer;
+        out.method = "POST";
+        out.path = kPromisePath;
+        out.endpoint = promise->node;
+        pack_promise_ask(p, promise->ask);
     } else {
         const auto& orders = std::get<Orders>(call);
         out.service = Service::worker;
@@ -287,6 +295,8 @@
             r.report = report_of(f);
         } else if (std::holds_alternative<PeerCall>(call)) {
             r.exchange = exchange_reply_of(f);
+        } else if (std::holds_alternative<PromiseCall>(call)) {
+            r.promise = promise_reply_of(f);
         }
     } catch (const BadMessage&) {
         CallReply none;
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -18,13 +18,16 @@
 inline constexpr char kCancelEnd[] = "/withdraw";
 inline constexpr char kReportPath[] = "/v1/report";
 inline constexpr char kReadyPath[] = "/ready";
-inline constexpr char kPeerPath[] = "/exchange"; // on the address for the other controllers
+// On the address for the other controllers.
+inline constexpr char kPeerPath[] = "/exchange";
+inline constexpr char kPromisePath[] = "/promise";
 inline constexpr std::size_t kBodyLimit = 64 * 1024;
 inline constexpr char kContentType[] = "application/msgpack";
 
 JobSpec parse_job(const std::string& body);
 Report parse_report(const std::string& body);
 Exchange parse_exchange(const std::string& body);
+PromiseAsk parse_promise_ask(const std::string& body);
 bool valid_job_id(const std::string& id);
 std::string encode_answer(const AnswerBody& body);
 
--- a/src/wire/exchange.cpp
+++ b/src/wire/exchange.cpp
@@ -269,6 +269,36 @@
     return r;
 }
 
+void pack_promise_ask(Packer& p, const PromiseAsk& a) {
+    p.pack_map(4);
+    field(p, "part", a.part);
+    field(p, "term", a.term);
+    field(p, "for_s", a.for_s);
+    field(p, "silent_s", a.silent_s);
+}
+
+void pack_promise_reply(Packer& p, const PromiseReply& r) {
+    p.pack_map(3);
+    field(p, "reaches", r.reaches);
+    field(p, "given", r.given);
+    field(p, "cancelled", r.cancelled);
+}
+
+PromiseReply promise_reply_of(const Fields& f) {
+    return {f.flag("reaches"), f.flag("given"), names_of(f, "cancelled")};
+}
+
+PromiseAsk parse_promise_ask(const std::string& body) {
+    auto handle = unpack(body);
+    Fields f(handle.get());
+    PromiseAsk a;
+    a.part = static_cast<int>(std::min<std::uint64_t>(f.integer("part"), 1 << 20));
+    a.term = f.integer("term");
+    a.for_s = f.amount("for_s");
+    a.silent_s = f.amount("silent_s");
+    return a;
+}
+
 Exchange parse_exchange(const std::string& body) {
     auto handle = unpack(body);
     return exchange_of(Fields(handle.get()));
--- a/src/wire/fields.h
+++ b/src/wire/fields.h
@@ -193,6 +193,9 @@
 // Between controllers (exchange.cpp).
 void pack_exchange(Packer& p, const Exchange& e);
 void pack_exchange_reply(Packer& p, const ExchangeReply& r);
+void pack_promise_ask(Packer& p, const PromiseAsk& a);
+void pack_promise_reply(Packer& p, const PromiseReply& r);
+PromiseReply promise_reply_of(const Fields& f);
 ExchangeReply exchange_reply_of(const Fields& f);
 
 } // namespace orchidlanding::wire
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -174,6 +174,23 @@
     EXPECT_EQ(e.demand.bound.at("a"), 6);
 }
 
+TEST(Wire, PromisesComeThrough) {
+    PromiseAsk ask =
+        wire::parse_promise_ask(wire::encode_call(PromiseCall{"n1", {3, 77, 11.05, 4.5}}).body);
+    EXPECT_EQ(ask.part, 3);
+    EXPECT_EQ(ask.term, 77u);
+    EXPECT_EQ(ask.for_s, 11.05);
+    EXPECT_EQ(ask.silent_s, 4.5);
+    std::string body = wire::encode_answer(PromiseReply{true, false, {"req-1", "req-2"}});
+    CallReply reply = wire::decode_reply(1, PromiseCall{}, 200, body);
+    ASSERT_TRUE(reply.promise);
+    EXPECT_TRUE(reply.promise->reaches);
+    EXPECT_FALSE(reply.promise->given);
+    EXPECT_EQ(reply.promise->cancelled.size(), 2u);
+    EXPECT_EQ(wire::decode_reply(1, PromiseCall{}, 200, "junk").status, 0);
+    EXPECT_THROW(wire::parse_promise_ask("\x80"), wire::BadMessage);
+}
+
 TEST(Wire, RefusesAGangWhoseAttemptAndMembersDoNotGoTogether) {
     for (auto spoil : std::vector<std::function<void(Want&)>>{
              [](Want& w) { w.attempt = 0; }, [](Want& w) { w.members.pop_back(); },
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -244,9 +244,9 @@
 
 void World::call(int i, const Call& c) {
     Node& n = *nodes_[i];
-    static constexpr const char* kNames[] = {"get",   "range",   "txn",     "grant",
-                                             "renew", "watch",   "catalog", "list",
-                                             "rent",  "release", "orders",  "peer"};
+    static constexpr const char* kNames[] = {"get",    "range",   "txn",    "grant", "renew",
+                                             "watch",  "catalog", "list",   "rent",  "release",
+                                             "orders", "peer",    "promise"};
     ++call_counts_[kNames[c.body.index()]];
     int life = n.life;
     CallReply none;
@@ -294,6 +294,28 @@
             input(to, PeerExchange{request, peer->exchange});
             return;
         }
+        if (const auto* promise = std::get_if<PromiseCall>(&c.body)) {
+            int to = std::atoi(promise->node.c_str() + 1);
+            at(now_ + 1.5, [=, this] { deliver(i, life, none); });
+            if (!nodes_[to]->core || peers_cut_.contains({i, to})) {
+                return;
+            }
+            RequestId request = next_request_++ + (1ULL << 40);
+            reports_[request] = [this, i, life, c, silent](const Answer& a) {
+                if (silent) {
+                    return;
+                }
+                CallReply r;
+                r.call = c.id;
+                r.status = a.status;
+                if (const auto* body = std::get_if<PromiseReply>(&a.body)) {
+                    r.promise = *body;
+                }
+                deliver(i, life, r);
+            };
+            input(to, PeerPromise{request, promise->ask});
+            return;
+        }
         if (std::holds_alternative<Orders>(c.body)) {
             const auto& orders = std::get<Orders>(c.body);
             auto it = workers_.find(orders.machine);
@@ -976,6 +998,12 @@
     return id;
 }
 
+int World::probe(int node) {
+    RequestId id = next_request_++;
+    input(node, ReadyProbe{id});
+    return answers.at(id).status;
+}
+
 RequestId World::cancel(int node, const std::string& job) {
     RequestId id = next_request_++;
     asked_[id] = {"cancel", job, now_};
--- a/tests/world.h
+++ b/tests/world.h
@@ -41,6 +41,8 @@
     RequestId submit(int node, JobSpec spec);
     RequestId poll(int node, const std::string& job);
     RequestId cancel(int node, const std::string& job);
+    // What a health check gets now.
+    int probe(int node);
     std::map<RequestId, Answer> answers;
     JobSpec job(const std::string& id, std::uint32_t tasks, double cpus = 2) const;
 
