A class or team left behind keeps a share; the waiting order is a class of its own

Need: jobs that cannot meet an aim stand behind, so that under lasting overload a class may starve.

A class with waiting jobs that have missed all aims keeps an even share of the slots until half of its jobs are served, a team the share that its guarantee is of all guarantees. Peers are told with each want. WaitingOrder (order, due times, plan) leaves PartOwner; Candidate carries its kind; reservations end on the timer instead of on each exchange.

--- a/src/core/gang_placing.cpp
+++ b/src/core/gang_placing.cpp
@@ -298,7 +298,7 @@
     }
     if (job.placed == 0) {
         gangs_.gone(id);
-        order_stale_ = true;
+        order_.stale();
     }
 }
 
--- a/src/core/io.h
+++ b/src/core/io.h
@@ -55,6 +55,7 @@
     Priority priority = Priority::normal;
     bool borrows = false;
     bool longest = false; // its team's work takes longest
+    bool kept = false;    // its class or team is to keep a share
     double age_s = 0;
     double due_s = 0; // until the job's next aim
 };
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -38,6 +38,16 @@
       calls_(budget, (authority.term(part) << 32) + 1), types_(types), term_(authority.term(part)),
       since_(now), jobs_(chunk_tasks(facts)), machines_(facts.lease_s, facts.lease_s * kMargin),
       teams_(facts.teams), gangs_(facts.gang_wait_s), fleet_(facts, policy, authority.term(part)),
+      order_(
+          facts_, policy_, jobs_, teams_,
+          [this](Time at, const Job& job) { return waits(at, job); },
+          [this] {
+              std::vector<PeerWants> all;
+              for (auto& [p, peer] : peers_) {
+                  all.push_back({p, peer.wants_at, &peer.wants});
+              }
+              return all;
+          }),
       watched_at_(now) {
     for (int p = 0; p < static_cast<int>(facts_.parts.size()); ++p) {
         if (p != part_) {
@@ -504,6 +514,9 @@
                                           if (wrote(reply, "outcome")) {
                                               calls_.log(Level::info, "event=job_done job=" + id);
                                               index_.saw_final(at, id, Outcome::done);
+                                              if (j) {
+                                                  order_.done(j->spec);
+                                              }
                                               jobs_.final(id, Outcome::done);
                                               drop_job(id);
                                           } else if (reply.status == 409 && !deposed_) {
@@ -555,7 +568,6 @@
 // The order may point to the job.
 void PartOwner::drop_job(const std::string& id) {
     order_.clear();
-    order_stale_ = true;
     gangs_.gone(id);
     jobs_.drop(id);
 }
@@ -641,7 +653,7 @@
         (s.spot ? need.any : need.ordinary) += tasks * slots;
         need.cpus += tasks * s.cpus;
         need.gpus += tasks * s.gpus;
-        left += left_s(*job) * slots;
+        left += WaitingOrder::left_s(*job) * slots;
     }
     d.left_slot_s = left;
     while (!arrivals_.empty() && now - arrivals_.front().at > kArrivalLeases * facts_.lease_s) {
@@ -925,6 +937,7 @@
         count_doubtful();
     }
     tend_gangs(now);
+    end_reservations(now);
     watch(now);
     for (const auto& [id, job] : jobs_.all()) {
         if (job->open() && job->complete()) {
@@ -943,7 +956,8 @@
     }
     if (now >= next_fleet_) {
         next_fleet_ = now + facts_.report_s / 3;
-        find_longest(now);
+        Totals all = totals(now);
+        order_.take_stock(now, all.ordinary_slots + all.spot_slots, all.demand.left_slot_s);
         run_fleet(now);
     }
     place(now);
--- a/src/core/part_owner.h
+++ b/src/core/part_owner.h
@@ -13,6 +13,7 @@
 #include "core/machine_table.h"
 #include "core/slot_lists.h"
 #include "core/teams.h"
+#include "core/waiting_order.h"
 
 namespace orchidlanding {
 
@@ -67,23 +68,6 @@
     void relist(Machine& machine);
     bool may_place(const Machine& machine) const;
     void place(Time now);
-    struct Candidate { // a job of ours that waits, or slots wanted by another part
-        Priority priority;
-        bool borrows;
-        bool longest; // its team's work takes longest: see find_longest
-        Time due;
-        Time since;
-        Job* job;   // ours ...
-        Want* want; // ... or a peer's
-        int thief;
-    };
-    // When the job is next expected to have come to something, by the aims of its class.
-    Time due(Time now, const Job& job) const;
-    static Time late(const Job& job) { return job.known_since + 1e6; }
-    static double left_s(const Job& job);
-    void plan(Time now);
-    void refresh_order(Time now);
-    void find_longest(Time now);
     void fill(Time now, bool spot, bool spot_jobs);
     bool suits(Time now, const Machine& machine, const Candidate& candidate) const;
     void place_on(Time now, Machine& machine);
@@ -189,6 +173,7 @@
     bool make_room(Time now, const JobSpec& shape, std::size_t tasks, bool guaranteed,
                    const Job* job);
     void press(Time now);
+    void end_reservations(Time now);
 
     const std::string* find_slots(bool spot, const JobSpec& shape, const TaskRef* task,
                                   const Job* job, const GangPlan* plan = nullptr,
@@ -252,8 +237,7 @@
     std::uint64_t guests_version_ = 1;
     std::uint64_t guests_floor_ = 0; // changes up to here may have been dropped from the log
     std::map<std::string, std::pair<Rent, Time>> bought_; // for all parts, not up yet
-    std::vector<Candidate> order_; // what waits, first come first; see refresh_order
-    bool order_stale_ = true;
+    WaitingOrder order_;
     int unanswered_ = 0;
     Standing standing_;
     Time standing_until_ = 0;
@@ -267,8 +251,6 @@
     std::deque<Arrival> arrivals_; // of work that is to start sooner than a machine boots
     void note_arrival(Time now, const JobSpec& spec);
     double ahead(Time now) const;
-    std::set<std::string> longest_; // teams whose work takes longer than all work together
-    Time order_until_ = 0;
     std::uint64_t next_attempt_ = 1;
     std::uint64_t watch_from_ = 0;
     std::optional<Range> load_again_;
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -117,21 +117,22 @@
 }
 
 // For our own gangs and replicas that wait, and for those of peers who have no room of their own.
-void PartOwner::press(Time now) {
-    if (!loaded_ || !usable_now(now)) {
-        return;
-    }
+void PartOwner::end_reservations(Time now) {
     for (auto& [name, m] : machines_.all()) {
         if (!m.reserved_for.empty() && now > m.reserved_until) {
             m.reserved_for.clear();
         }
     }
+}
+
+void PartOwner::press(Time now) {
+    if (!loaded_ || !usable_now(now)) {
+        return;
+    }
     std::erase_if(pressed_, [&](const auto& p) { return now > p.second; });
-    refresh_order(now);
-    for (const Candidate& c : order_) {
+    for (const Candidate& c : order_.get(now)) {
         const std::string& id = c.want ? c.want->job : c.job->spec.id;
-        bool at_once = (c.want ? c.want->kind : c.job->spec.kind) != JobKind::array;
-        if (!at_once || (c.borrows && c.priority != Priority::production) ||
+        if (c.kind == JobKind::array || (c.borrows && c.priority != Priority::production) ||
             pressed_.contains(id)) {
             continue;
         }
--- a/src/core/stealing.cpp
+++ b/src/core/stealing.cpp
@@ -58,10 +58,10 @@
         }
     }
     std::sort(waiting.begin(), waiting.end(), [&](const Job* a, const Job* b) {
-        return std::tuple(a->spec.priority, !longest_.contains(a->spec.team), a->due,
-                          a->known_since) < std::tuple(b->spec.priority,
-                                                       !longest_.contains(b->spec.team), b->due,
-                                                       b->known_since);
+        return std::tuple(!order_.kept(a->spec), a->spec.priority, !order_.longest(a->spec.team),
+                          a->due, a->known_since) <
+               std::tuple(!order_.kept(b->spec), b->spec.priority, !order_.longest(b->spec.team),
+                          b->due, b->known_since);
     });
     // Many jobs, so that the peer can choose by image; it gives no more than the batch in all.
     Teams room = teams_; // so that slots are not asked for beyond a team's limit
@@ -79,7 +79,8 @@
         w.zone = s.zone;
         w.spot = s.spot;
         w.priority = s.priority;
-        w.longest = longest_.contains(s.team);
+        w.longest = order_.longest(s.team);
+        w.kept = order_.kept(s);
         w.borrows = !teams_.within_guarantee(s.team, s.cpus, s.gpus);
         w.preempt = job->wants_room;
         w.age_s = now - job->known_since;
@@ -113,7 +114,7 @@
     out.from = part_;
     out.term = term_;
     out.to = part;
-    refresh_order(now);
+    order_.get(now); // due times
     ++peer.calls;
     if (now >= peer.want_again) {
         out.wants = wants_for(now, peer);
@@ -416,7 +417,6 @@
         }
     }
     order_.clear(); // it points into the wants of before
-    order_stale_ = true;
     peer.wants = in.wants;
     peer.wants_at = now;
     peer.heard_at = now;
--- a/src/core/takeover.cpp
+++ b/src/core/takeover.cpp
@@ -94,7 +94,10 @@
                     peer.next = 0; // it may have slots where we have none
                 }
             }
-            order_stale_ = true;
+            if (added) {
+                order_.arrived(added->spec);
+            }
+            order_.stale();
         } else if (record->outcome == Outcome::cancelled) {
             // Its tasks may still be on machines and count for their team until they are gone.
             if (!loaded_ && record->spec) {
--- a/src/wire/exchange.cpp
+++ b/src/wire/exchange.cpp
@@ -91,6 +91,7 @@
         want.priority = enum_of<Priority>(w.text("priority"), kPriorities, "priority");
         want.borrows = w.flag("borrows");
         want.longest = w.flag("longest");
+        want.kept = w.flag("kept");
         want.age_s = w.amount("age_s");
         want.due_s = w.amount("due_s");
         bool gang = want.kind == JobKind::gang;
@@ -131,7 +132,7 @@
     key(p, "wants");
     p.pack_array(static_cast<std::uint32_t>(e.wants.size()));
     for (const auto& w : e.wants) {
-        p.pack_map(23);
+        p.pack_map(24);
         field(p, "job", w.job);
         field(p, "preempt", w.preempt);
         field(p, "partial", w.partial);
@@ -155,6 +156,7 @@
         field(p, "priority", name_of(w.priority, kPriorities));
         field(p, "borrows", w.borrows);
         field(p, "longest", w.longest);
+        field(p, "kept", w.kept);
         field(p, "age_s", w.age_s);
         field(p, "due_s", w.due_s);
     }
--- /dev/null
+++ b/tests/overload_test.cpp
@@ -0,0 +1,75 @@
+// Lasting overload with capacity lost: no class and no team may starve.
+#include <gtest/gtest.h>
+
+#include "core/parts.h"
+#include "world.h"
+
+namespace orchidlanding::test {
+namespace {
+
+struct Kind {
+    const char* name;
+    Priority priority;
+    std::uint32_t tasks;
+    double cpus;
+    double every_s; // between arrivals on an ordinary day
+};
+constexpr Kind kKinds[] = {{"scan", Priority::normal, 6, 1, 8},
+                           {"urgent", Priority::high, 4, 2, 7},
+                           {"thesis", Priority::normal, 24, 1, 24}};
+
+// Class that comes more often, and how many times.
+class Overload : public testing::TestWithParam<std::tuple<int, int>> {};
+
+TEST_P(Overload, LeavesEveryClassAndTeamHalfServed) {
+    auto [busy, factor] = GetParam();
+    World w({.nodes = 3,
+             .run_s = 10,
+             .limits = 2.5,
+             .capacity = 10,
+             .objectives = {{Objective::Kind::finished, "scan", 60},
+                            {Objective::Kind::wait, "urgent", 10},
+                            {Objective::Kind::finished, "thesis", 90}}});
+    w.run_for(20);
+    int jobs = 0;
+    std::map<std::string, std::pair<std::string, std::string>> sent; // class and team, by job
+    Time from = w.now();
+    std::vector<Time> next(std::size(kKinds), from);
+    while (w.now() < from + 240) {
+        for (std::size_t k = 0; k < std::size(kKinds); ++k) {
+            const Kind& kind = kKinds[k];
+            if (w.now() < next[k]) {
+                continue;
+            }
+            next[k] += kind.every_s / (static_cast<int>(k) == busy ? factor : 1);
+            JobSpec s = w.job("req-" + std::to_string(++jobs), kind.tasks, kind.cpus);
+            s.job_class = kind.name;
+            s.priority = kind.priority;
+            s.team = jobs % 2 ? "red" : "blue";
+            sent[s.id] = {s.job_class, s.team};
+            w.submit(jobs % 3, s);
+        }
+        if (w.now() >= from + 60 && w.machines_up().size() > 7) { // three of ten go for good
+            w.kill_machine(w.machines_up().front());
+            w.limit_cloud(7);
+        }
+        w.run_for(0.5);
+    }
+    w.run_for(60);
+    std::map<std::string, std::pair<int, int>> served; // of all, by class and by team
+    for (const auto& [id, outcome] : w.outcomes()) {
+        for (const auto& name : {sent.at(id).first, sent.at(id).second}) {
+            served[name].first += outcome == Outcome::done;
+            ++served[name].second;
+        }
+    }
+    for (const auto& [name, count] : served) {
+        EXPECT_GE(2 * count.first, count.second) << name << ": " << count.first;
+    }
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+}
+INSTANTIATE_TEST_SUITE_P(Days, Overload,
+                         testing::Combine(testing::Range(0, 3), testing::Values(3, 5)));
+
+} // namespace
+} // namespace orchidlanding::test
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -73,6 +73,7 @@
             f.teams = {{"red", 0, 0, 8 * options_.limits, 12 * options_.limits},
                        {"blue", 0, 0, 4 * options_.limits, 20 * options_.limits}};
         }
+        f.objectives = options_.objectives;
         f.report_s = kReport;
         f.lease_s = kLease;
         f.cancel_s = 42;
--- a/tests/world.h
+++ b/tests/world.h
@@ -24,7 +24,8 @@
     double limits = 1;         // of the teams, times the usual
     std::size_t capacity = 12; // machines that the cloud has
     double drift = 0.0005;     // steady clocks differ by up to this
-    bool gpus = false;         // machines have 4 GPUs, and teams state GPUs only
+    std::vector<Objective> objectives;
+    bool gpus = false; // machines have 4 GPUs, and teams state GPUs only
 };
 
 class World {
@@ -57,6 +58,8 @@
     // The cloud says that it takes the machine, and does so then.
     void take_machine(const std::string& machine, double notice_s);
     void cloud_down(bool down) { cloud_down_ = down; }
+    // The cloud rents no more than so many at once from now on.
+    void limit_cloud(std::size_t machines) { options_.capacity = machines; }
 
     // What is true.
     std::vector<std::string> machines_up() const;
