Warm lists of idle machines, bitmaps of waiting tasks, a takeover that accounts once

Need: the new benchmark of the core (bench/, Google Benchmark) showed that a placement from the lists looked through all machines for one with the image, that a takeover looked through all machines not yet accounted for at every report, and that a waiting task took some 50 bytes.

SlotLists keep, per image, the idle machines that have it (the paper's warm lists); a machine is accounted for once, when its report shows the new token; waiting tasks are a compressed bitmap (libroaring). A machine is not released before the owners of its guests have heard of their ends, which ran such tasks twice over.

--- /dev/null
+++ b/bench/allocations.h
@@ -0,0 +1,7 @@
+// Counts every allocation of the process.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+
+extern std::atomic<std::uint64_t> allocations;
--- /dev/null
+++ b/bench/core_bench.cpp
@@ -0,0 +1,420 @@
+// What the core costs by itself, as the fleet grows: a report, a placement, a steal, a takeover, a
+// tick. Time, allocations, and bytes held for a machine and for a waiting task. Nothing here waits:
+// the calls that the core makes are answered on the spot by a stand-in that keeps the keys in a
+// map.
+#include <benchmark/benchmark.h>
+#include <malloc.h>
+
+#include <cstdlib>
+#include <deque>
+
+#include "allocations.h"
+#include "core/controller.h"
+#include "core/parts.h"
+#include "policy/defaults.h"
+
+namespace orchidlanding {
+namespace {
+
+constexpr double kCpus = 32;
+constexpr double kReportS = 6;
+constexpr std::uint32_t kTasksOfJob = 10000;
+
+Facts facts(const char* node, int home, int parts) {
+    Facts f;
+    f.node = node;
+    f.home = home;
+    for (int p = 0; p < parts; ++p) {
+        f.parts.push_back({"n" + std::to_string(p), "a"});
+    }
+    f.zones = {"a"};
+    f.teams = {{"red", 1e9, 0, 0, 0}};
+    f.report_s = kReportS;
+    f.lease_s = 31;
+    f.cancel_s = 56;
+    f.state_rps = 1e9;
+    f.state_write_rps = 1e9;
+    f.value_kb = 8;
+    f.txn_ops = 12;
+    f.cloud_rps = 7;
+    f.list_lag_s = 8;
+    return f;
+}
+
+MachineType type() { return {"m32", kCpus, 0, 256, 35, 0.2, 2.3, 0.5, 50, {"a"}}; }
+
+JobSpec job(int number, std::uint32_t tasks) {
+    JobSpec s;
+    s.id = "req-" + std::to_string(number);
+    s.job_class = "export";
+    s.team = "red";
+    s.tasks = tasks;
+    s.cpus = 4;
+    s.ram_gb = 16;
+    s.image = "img-" + std::to_string(number % 14);
+    s.image_gb = 1;
+    s.spot = true;
+    s.estimate_s = 25;
+    return s;
+}
+
+// The state service as a map; nodes that call each other do so at once.
+class Region {
+  public:
+    explicit Region(int nodes) {
+        for (int n = 0; n < nodes; ++n) {
+            std::string name = "n" + std::to_string(n);
+            Facts f = facts(name.c_str(), n, nodes);
+            cores_.push_back(std::make_unique<Controller>(f, policy::defaults(f)));
+        }
+    }
+    void put(const std::string& key, Record record) {
+        kv_[key] = {key, std::move(record), ++revision_};
+    }
+    Outputs input(int node, Input in) {
+        Outputs out = cores_[node]->handle(now_, std::move(in));
+        for (auto& call : out.calls) {
+            calls_.emplace_back(node, std::move(call));
+        }
+        return out;
+    }
+    // Answers calls until there are none left but watches.
+    void settle() {
+        while (!calls_.empty()) {
+            auto [node, call] = std::move(calls_.front());
+            calls_.pop_front();
+            if (std::holds_alternative<Watch>(call.body)) {
+                watches_.emplace_back(node, std::move(call));
+                continue;
+            }
+            if (const auto* peer = std::get_if<PeerCall>(&call.body)) {
+                int to = std::atoi(peer->node.c_str() + 1);
+                Outputs out = input(to, PeerExchange{77, peer->exchange});
+                CallReply reply;
+                reply.call = call.id;
+                for (auto& a : out.answers) {
+                    if (auto* body = std::get_if<ExchangeReply>(&a.body)) {
+                        reply.status = a.status;
+                        reply.exchange = std::move(*body);
+                    }
+                }
+                input(node, std::move(reply));
+                continue;
+            }
+            CallReply reply = serve(call);
+            reply.call = call.id;
+            input(node, std::move(reply));
+        }
+    }
+    void step(double seconds) {
+        now_ += seconds;
+        for (std::size_t n = 0; n < cores_.size(); ++n) {
+            input(static_cast<int>(n), Tick{});
+        }
+        settle();
+    }
+    // New jobs come by the watch.
+    void tell(const std::vector<JobSpec>& specs) {
+        CallReply reply;
+        reply.status = 200;
+        for (const auto& s : specs) {
+            put("job/" + s.id, JobRecord{Outcome::none, s});
+            reply.items.push_back(kv_.at("job/" + s.id));
+        }
+        reply.revision = revision_;
+        for (auto& [node, watch] : std::exchange(watches_, {})) {
+            CallReply mine = reply;
+            if (std::get<Watch>(watch.body).prefix != "job/") {
+                mine.items.clear();
+            }
+            mine.call = watch.id;
+            input(node, std::move(mine));
+        }
+        settle();
+    }
+    // Until the parts are claimed and read.
+    void begin() {
+        for (int k = 0; k < 8; ++k) {
+            step(0.5);
+        }
+    }
+    void advance(double seconds) { now_ += seconds; }
+    std::vector<std::pair<int, Orders>> orders; // direct commands of late
+
+  private:
+    CallReply serve(const Call& call) {
+        CallReply r;
+        r.status = 200;
+        if (const auto* range = std::get_if<Range>(&call.body)) {
+            r.revision = revision_;
+            auto it = range->after.empty() ? kv_.lower_bound(range->prefix)
+                                           : kv_.upper_bound(range->after);
+            for (; it != kv_.end() && it->first.starts_with(range->prefix); ++it) {
+                if (r.items.size() == 1000) {
+                    r.more = true;
+                    break;
+                }
+                r.items.push_back(it->second);
+            }
+        } else if (const auto* txn = std::get_if<Txn>(&call.body)) {
+            for (const auto& c : txn->then) {
+                if (c.put) {
+                    put(c.key, *c.put);
+                } else {
+                    kv_.erase(c.key);
+                }
+            }
+            r.revision = revision_;
+        } else if (std::holds_alternative<GrantLease>(call.body)) {
+            r.lease = ++lease_;
+        } else if (std::holds_alternative<Catalog>(call.body)) {
+            r.types = {type()};
+        } else if (const auto* o = std::get_if<Orders>(&call.body)) {
+            r.status = 0;
+            orders.emplace_back(0, *o);
+        }
+        return r;
+    }
+
+    std::vector<std::unique_ptr<Controller>> cores_;
+    std::map<std::string, KeyedRecord> kv_;
+    std::uint64_t revision_ = 1;
+    std::uint64_t lease_ = 0;
+    Time now_ = 1000;
+    std::deque<std::pair<int, Call>> calls_;
+    std::vector<std::pair<int, Call>> watches_;
+};
+
+std::string name_of(int machine) {
+    char name[16];
+    std::snprintf(name, sizeof name, "i-%06d", machine);
+    return name;
+}
+
+// Workers as far as the core sees them.
+struct Workers {
+    explicit Workers(int count, int nodes) : reports(static_cast<std::size_t>(count)) {
+        Facts f = facts("n0", 0, nodes);
+        for (int i = 0; i < count; ++i) {
+            Report& r = reports[static_cast<std::size_t>(i)];
+            r.machine = name_of(i);
+            r.endpoint = "10.0.0.1:9000";
+            r.type = "m32";
+            r.zone = "a";
+            r.spot = true;
+            r.session = 1;
+            owner.push_back(part_of_machine(f, r.machine, r.zone));
+        }
+    }
+    // One report to the machine's owner; its commands are carried out.
+    void report(Region& region, std::size_t i) {
+        Report& r = reports[i];
+        ++r.tick;
+        Outputs out = region.input(owner[i], WorkerReport{1, r});
+        for (const auto& a : out.answers) {
+            const auto* body = std::get_if<ReportAnswer>(&a.body);
+            if (!body) {
+                continue;
+            }
+            r.token = std::max(r.token, body->token);
+            for (const auto& c : body->commands) {
+                if (c.op == Op::start) {
+                    r.tasks.push_back({c.task, c.attempt, TaskStage::running, ExitWhy::none});
+                    ++starts;
+                } else if (c.op == Op::clear) {
+                    std::erase_if(r.tasks, [&](const ListedTask& t) {
+                        return t.task == c.task && t.attempt == c.attempt;
+                    });
+                }
+            }
+        }
+    }
+    // Every machine says twice that it is there.
+    void come(Region& region) {
+        for (int round = 0; round < 2; ++round) {
+            for (std::size_t i = 0; i < reports.size(); ++i) {
+                report(region, i);
+                region.settle();
+            }
+        }
+    }
+    std::vector<Report> reports;
+    std::vector<int> owner;
+    std::uint64_t starts = 0;
+};
+
+std::vector<JobSpec> jobs(std::int64_t tasks, int from = 0) {
+    std::vector<JobSpec> out;
+    for (int n = from; tasks > 0; ++n) {
+        out.push_back(
+            job(n, static_cast<std::uint32_t>(std::min<std::int64_t>(tasks, kTasksOfJob))));
+        tasks -= kTasksOfJob;
+    }
+    return out;
+}
+
+std::size_t held() { return mallinfo2().uordblks; }
+
+void count_allocations(benchmark::State& state, std::uint64_t before) {
+    state.counters["allocations"] = benchmark::Counter(static_cast<double>(allocations - before),
+                                                       benchmark::Counter::kAvgIterations);
+}
+
+// A machine whose slots are all taken reports one task ended; the slot is filled again at once.
+void report_and_placement(benchmark::State& state) {
+    auto machines = static_cast<int>(state.range(0));
+    Region region(1);
+    Workers workers(machines, 1);
+    region.begin();
+    std::size_t empty = held();
+    workers.come(region);
+    double machine_bytes = static_cast<double>(held() - empty) / machines;
+    std::int64_t waiting = std::max<std::int64_t>(state.range(1), machines * 10);
+    std::size_t before_jobs = held();
+    region.tell(jobs(waiting));
+    double task_bytes = static_cast<double>(held() - before_jobs) / static_cast<double>(waiting);
+    for (std::size_t i = 0; i < workers.reports.size(); ++i) { // takes what waits for it
+        workers.report(region, i);
+        workers.report(region, i);
+    }
+    region.settle();
+    std::size_t next = 0;
+    std::uint64_t before_starts = workers.starts;
+    std::uint64_t before = allocations;
+    for (auto _ : state) {
+        std::size_t i = next++ % workers.reports.size();
+        for (auto& t : workers.reports[i].tasks) {
+            if (t.stage == TaskStage::running) {
+                t.stage = TaskStage::exited;
+                t.why = ExitWhy::done;
+                break;
+            }
+        }
+        region.advance(kReportS / machines);
+        workers.report(region, i);
+    }
+    count_allocations(state, before);
+    state.counters["starts"] = benchmark::Counter(
+        static_cast<double>(workers.starts - before_starts), benchmark::Counter::kAvgIterations);
+    state.counters["bytes_a_machine"] = machine_bytes;
+    state.counters["bytes_a_task"] = task_bytes;
+}
+BENCHMARK(report_and_placement)
+    ->Args({100, 0})
+    ->Args({1000, 0})
+    ->Args({10000, 0})
+    ->Args({100000, 0})
+    ->Args({1000, 1000000})
+    ->Iterations(2000)
+    ->Unit(benchmark::kMicrosecond);
+
+// A job of one task comes while most slots are idle: placed from the lists.
+void placement_from_the_lists(benchmark::State& state) {
+    auto machines = static_cast<int>(state.range(0));
+    Region region(1);
+    Workers workers(machines, 1);
+    region.begin();
+    workers.come(region);
+    int number = 0;
+    std::uint64_t before = allocations;
+    for (auto _ : state) {
+        region.tell({job(number++, 1)});
+    }
+    count_allocations(state, before);
+}
+BENCHMARK(placement_from_the_lists)
+    ->Arg(100)
+    ->Arg(1000)
+    ->Arg(10000)
+    ->Arg(100000)
+    ->Iterations(100)
+    ->Unit(benchmark::kMicrosecond);
+
+// The timer of an owner with all slots taken.
+void tick(benchmark::State& state) {
+    auto machines = static_cast<int>(state.range(0));
+    Region region(1);
+    Workers workers(machines, 1);
+    region.begin();
+    workers.come(region);
+    region.tell(jobs(machines * 10));
+    for (std::size_t i = 0; i < workers.reports.size(); ++i) {
+        workers.report(region, i);
+    }
+    std::uint64_t before = allocations;
+    for (auto _ : state) {
+        region.step(0.001);
+    }
+    count_allocations(state, before);
+}
+BENCHMARK(tick)->Arg(100)->Arg(1000)->Arg(10000)->Arg(100000)->Iterations(20)->Unit(
+    benchmark::kMicrosecond);
+
+// The team's owner has work and two parts have machines: one exchange, with its grants and starts.
+void steal(benchmark::State& state) {
+    auto machines = static_cast<int>(state.range(0));
+    Region region(2);
+    Workers workers(machines, 2);
+    region.begin();
+    workers.come(region);
+    region.step(1);
+    int number = 0;
+    std::uint64_t before = allocations;
+    std::size_t sent = region.orders.size();
+    for (auto _ : state) {
+        region.tell({job(number++, 64)});
+        region.step(1);
+    }
+    count_allocations(state, before);
+    state.counters["direct_starts"] = benchmark::Counter(
+        static_cast<double>(region.orders.size() - sent), benchmark::Counter::kAvgIterations);
+}
+BENCHMARK(steal)->Arg(100)->Arg(1000)->Arg(10000)->Arg(100000)->Iterations(20)->Unit(
+    benchmark::kMicrosecond);
+
+// A new owner reads jobs and roster and hears every machine, each with its tasks.
+void takeover(benchmark::State& state) {
+    auto machines = static_cast<int>(state.range(0));
+    std::uint64_t before = allocations;
+    for (auto _ : state) {
+        state.PauseTiming();
+        auto region = std::make_unique<Region>(1);
+        Workers workers(machines, 1);
+        std::vector<JobSpec> specs = jobs(machines * 10);
+        for (const auto& s : specs) {
+            region->put("job/" + s.id, JobRecord{Outcome::none, s});
+        }
+        std::uint32_t task = 0;
+        for (auto& r : workers.reports) {
+            region->put("machine/0/" + r.machine, MachineRecord{r.endpoint, "m32", "a", true});
+            for (int k = 0; k < 8; ++k, ++task) {
+                r.tasks.push_back({{specs[task / kTasksOfJob].id, task % kTasksOfJob},
+                                   make_attempt(1, task + 1, 0),
+                                   TaskStage::running,
+                                   ExitWhy::none});
+            }
+        }
+        before = allocations;
+        state.ResumeTiming();
+        region->step(1);
+        region->step(0.5);
+        for (int round = 0; round < 2; ++round) {
+            for (std::size_t i = 0; i < workers.reports.size(); ++i) {
+                workers.report(*region, i);
+            }
+            region->settle();
+        }
+        state.PauseTiming();
+        region.reset();
+        state.ResumeTiming();
+    }
+    count_allocations(state, before);
+    state.SetComplexityN(machines);
+}
+BENCHMARK(takeover)->Arg(100)->Arg(1000)->Arg(10000)->Arg(100000)->Iterations(1)->Unit(
+    benchmark::kMillisecond);
+
+} // namespace
+} // namespace orchidlanding
+
+BENCHMARK_MAIN();
--- a/src/core/job_store.cpp
+++ b/src/core/job_store.cpp
@@ -23,9 +23,7 @@
     job->version = version;
     job->known_since = now;
     job->tasks.assign(spec.tasks, TaskState::waiting);
-    for (std::uint32_t i = 0; i < spec.tasks; ++i) {
-        job->waiting.insert(job->waiting.end(), i);
-    }
+    job->waiting = TaskSet(spec.tasks);
     std::size_t n = (spec.tasks + chunk_tasks_ - 1) / chunk_tasks_;
     job->chunk_changed.assign(n, 0);
     job->chunk_saved.assign(n, 0);
--- a/src/core/job_store.h
+++ b/src/core/job_store.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <unordered_map>
 
+#include "core/task_set.h"
 #include "core/types.h"
 
 namespace orchidlanding {
@@ -18,7 +19,7 @@
     Outcome outcome = Outcome::none;
     Time known_since = 0;
     std::vector<TaskState> tasks;
-    std::set<std::uint32_t> waiting;
+    TaskSet waiting;
     std::uint32_t placed = 0;
     std::uint32_t done = 0;
     std::vector<std::uint64_t> chunk_changed; // per chunk: count of changes made
--- a/src/core/machine_table.cpp
+++ b/src/core/machine_table.cpp
@@ -64,7 +64,9 @@
 }
 
 void Machine::touch_image(const std::string& image, double gb) {
-    std::erase_if(images, [&](const CachedImage& i) { return i.name == image; });
+    if (std::erase_if(images, [&](const CachedImage& i) { return i.name == image; }) == 0) {
+        ++images_version;
+    }
     images.push_back({image, gb});
     double held = 0;
     for (const auto& i : images) {
@@ -73,9 +75,15 @@
     while (held > type.cache_gb && images.size() > 1) {
         held -= images.front().gb;
         images.erase(images.begin());
+        ++images_version;
     }
 }
 
+void Machine::forget_images() {
+    images.clear();
+    ++images_version;
+}
+
 void Machine::forget_told() {
     if (stop_guests.empty() && clear_guests.empty()) {
         return;
@@ -155,7 +163,7 @@
         // answer to a direct command, which renews nothing.
         renewed(now, m);
         m.tick = 0;
-        m.images.clear();
+        m.forget_images();
     }
     bool newer = report.session == m.session && report.tick > m.tick;
     if (newer) {
--- a/src/core/machine_table.h
+++ b/src/core/machine_table.h
@@ -86,6 +86,7 @@
     std::vector<ListedTask> foreign;  // listed, not ours: they are stopped and cleared
     std::vector<ListedTask> finished; // exited, cleared once durable
     std::vector<CachedImage> images;  // most recently used last
+    std::uint64_t images_version = 0; // of which images these are
     // Guests, tasks of other parts' jobs: what the owners of these say, until it shows.
     std::map<StartId, double> stop_guests; // with the time to save
     std::set<StartId> clear_guests;        // their end is durable
@@ -109,6 +110,7 @@
     // An exited attempt of the task is listed still: another would be refused as busy.
     bool holds_exited(const TaskRef& task) const;
     void touch_image(const std::string& image, double gb);
+    void forget_images();
     // What was said about guests holds until it has shown.
     void forget_told();
 };
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -149,6 +149,9 @@
     for (const auto& g : result.gone) {
         gone(now, m.name, g);
     }
+    if (m.fenced) {
+        unaccounted_.erase(m.name); // from here on its listings are all there is
+    }
     if (result.fresh) {
         adopt_listed(now, m);
     }
@@ -764,11 +767,24 @@
     }
     bool may_suspect = accounted_ && now - since_ > machines_.lease_bound_s();
     auto surplus = fleet_.surplus(now, machines_, sum, may_suspect);
+    std::erase_if(surplus, [&](const auto& name) { return owes_ends(now, *machines_.find(name)); });
     if (!surplus.empty() && now >= next_release_) {
         release(now, surplus);
     }
 }
 
+// A task that ended here would be run again if the machine went before its job's owner has heard of
+// the end, which takes no longer than a call or two. A silent machine is not waited for.
+bool PartOwner::owes_ends(Time now, const Machine& m) const {
+    return m.reported && now - m.last_report < 2 * facts_.report_s && m.empty() &&
+           std::any_of(m.finished.begin(), m.finished.end(), [&](const ListedTask& t) {
+               auto peer = peers_.find(part_of_attempt(t.attempt));
+               return peer != peers_.end() && t.why == ExitWhy::done &&
+                      peer->second.acked < m.guests_version &&
+                      !m.clear_guests.contains(start_id(t.attempt, t.task.index));
+           });
+}
+
 void PartOwner::release(Time, std::vector<std::string> names) {
     names.resize(std::min<std::size_t>(names.size(), 100));
     for (const auto& name : names) {
@@ -792,7 +808,7 @@
             }
             next_release_ = at + facts_.report_s / 2; // the cloud's limit is shared by all
             fleet_.released(at, name);
-            slots_.remove(name);
+            slots_.forget(name);
             unaccounted_.erase(name);
             bool on_roster = m->on_roster;
             std::string zone = m->zone;
--- a/src/core/part_owner.h
+++ b/src/core/part_owner.h
@@ -108,6 +108,7 @@
         std::uint64_t seen = 0;
         // As the owner of machines: the peer's calls to us.
         std::uint64_t job_term = 0;
+        std::uint64_t acked = 0; // the version of our listing that it has taken in
         std::vector<Want> wants;
         Time wants_at = 0;
         std::uint32_t left = 0; // slots that it takes at most before it calls again
@@ -207,6 +208,7 @@
     void list_hosts(Time now, std::string after);
     void saw_host(Time now, const Host& host);
     void release(Time now, std::vector<std::string> names);
+    bool owes_ends(Time now, const Machine& machine) const;
     Demand demand(Time now);
     const MachineType* type(const std::string& name) const;
     const MachineType& usual_type(const JobSpec& spec) const;
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -30,6 +30,13 @@
     int idle = slots_idle(m.free_cpus(), m.free_gpus(), m.free_ram(), m.type);
     bool listed = may_place(m) && (idle > 0 || m.type.gpus > 0);
     slots_.set({m.type.name, m.spot}, m.name, listed ? idle : -1);
+    if (slots_.images_version(m.name) != m.images_version) {
+        std::vector<std::string> images;
+        for (const auto& image : m.images) {
+            images.push_back(image.name);
+        }
+        slots_.set_images(m.name, images, m.images_version);
+    }
     note_guests(m.name, &m);
 }
 
@@ -71,10 +78,12 @@
                 return allowed && (zone.empty() || zone == m.zone) && m.orders == 0 &&
                        m.kept_for(s.id) && m.free_cpus() >= n * s.cpus &&
                        m.free_ram() >= n * s.ram_gb && m.free_gpus() >= n * s.gpus &&
-                       (!warm || m.warm(s.image)) && !(task && m.holds_exited(*task));
+                       !(task && m.holds_exited(*task));
             };
+            SlotKind kind{t.name, spot};
+            int least = slots_listed(t, s.cpus, s.gpus, s.ram_gb);
             const std::string* found =
-                slots_.pop({t.name, spot}, slots_listed(t, s.cpus, s.gpus, s.ram_gb), fits);
+                warm ? slots_.pop_warm(kind, least, s.image, fits) : slots_.pop(kind, least, fits);
             if (found) {
                 return found;
             }
@@ -151,7 +160,7 @@
             continue; // no slot for its like a moment ago, so none now
         }
         while (!c.job->waiting.empty() && teams_.fits(s.team, s.cpus, s.gpus)) {
-            if (!place_one(now, spot, *c.job, *c.job->waiting.begin())) {
+            if (!place_one(now, spot, *c.job, c.job->waiting.first())) {
                 if (plain) {
                     full.insert(shape);
                 }
@@ -175,7 +184,7 @@
     return waits(now, *c.job) && m.kept_for(s.id) && s.cpus <= m.free_cpus() &&
            s.ram_gb <= m.free_ram() && s.gpus <= m.free_gpus() &&
            teams_.fits(s.team, s.cpus, s.gpus) && s.allows_type(m.type.name) &&
-           zone_allowed(*c.job, m.zone) && !m.holds_exited({s.id, *c.job->waiting.begin()});
+           zone_allowed(*c.job, m.zone) && !m.holds_exited({s.id, c.job->waiting.first()});
 }
 
 // The idle slots of one machine, as its report gives them. Of the candidates of the same rank, one
@@ -223,7 +232,7 @@
             } else if (c->want) {
                 lend(now, m, c->thief, *c->want);
             } else {
-                start_on(now, m, *c->job, *c->job->waiting.begin(), new_attempt(part_, false));
+                start_on(now, m, *c->job, c->job->waiting.first(), new_attempt(part_, false));
             }
         }
     }
--- a/src/core/slot_lists.cpp
+++ b/src/core/slot_lists.cpp
@@ -33,25 +33,82 @@
     if (it != where_.end() && it->second == std::pair(kind, slots)) {
         return;
     }
-    remove(machine);
+    bool was_listed = it != where_.end();
+    if (was_listed) {
+        unlist(it);
+    }
     if (slots >= 0) {
         lists_[kind][slots].insert(machine);
         where_[machine] = {kind, slots};
     }
+    if (was_listed != (slots >= 0)) {
+        warm(machine, slots >= 0);
+    }
 }
 
 void SlotLists::remove(const std::string& machine) {
-    auto it = where_.find(machine);
-    if (it == where_.end()) {
-        return;
+    if (auto it = where_.find(machine); it != where_.end()) {
+        unlist(it);
+        warm(machine, false);
     }
+}
+
+void SlotLists::unlist(Where::iterator it) {
     auto& lists = lists_[it->second.first];
     auto list = lists.find(it->second.second);
-    list->second.erase(machine);
+    list->second.erase(it->first);
     if (list->second.empty()) {
         lists.erase(list);
     }
     where_.erase(it);
 }
 
+void SlotLists::warm(const std::string& machine, bool listed) {
+    auto images = images_.find(machine);
+    if (images == images_.end()) {
+        return;
+    }
+    for (const auto& image : images->second.names) {
+        auto& idle = warm_.at(image).idle;
+        if (listed) {
+            idle.insert(machine);
+        } else {
+            idle.erase(machine);
+        }
+    }
+}
+
+void SlotLists::set_images(const std::string& machine, const std::vector<std::string>& images,
+                           std::uint64_t version) {
+    Images& known = images_[machine];
+    if (known.version == version) {
+        return;
+    }
+    warm(machine, false);
+    for (const auto& image : known.names) {
+        auto it = warm_.find(image);
+        if (--it->second.machines == 0) {
+            warm_.erase(it);
+        }
+    }
+    known = {images, version};
+    for (const auto& image : images) {
+        ++warm_[image].machines;
+    }
+    if (where_.contains(machine)) {
+        warm(machine, true);
+    }
+}
+
+std::uint64_t SlotLists::images_version(const std::string& machine) const {
+    auto it = images_.find(machine);
+    return it == images_.end() ? 0 : it->second.version;
+}
+
+void SlotLists::forget(const std::string& machine) {
+    remove(machine);
+    set_images(machine, {}, images_version(machine) + 1);
+    images_.erase(machine);
+}
+
 } // namespace orchidlanding
--- a/src/core/slot_lists.h
+++ b/src/core/slot_lists.h
@@ -3,6 +3,9 @@
 #pragma once
 
 #include <set>
+#include <tuple>
+#include <unordered_map>
+#include <unordered_set>
 
 #include "core/types.h"
 
@@ -26,7 +29,42 @@
     // Lists the machine under `slots` idle slots; below 0 takes it off.
     void set(const SlotKind& kind, const std::string& machine, int slots);
     void remove(const std::string& machine);
+    // The machine is gone, and its images with it.
+    void forget(const std::string& machine);
     bool empty() const { return where_.empty(); }
+    // Images that the machine has. `version`: changes with them, so that telling the same costs
+    // nothing.
+    void set_images(const std::string& machine, const std::vector<std::string>& images,
+                    std::uint64_t version);
+    std::uint64_t images_version(const std::string& machine) const;
+    // As `pop`, but only of the machines with the image: from the paper's list of warm cores, where
+    // that is the shorter way, else by looking through all lists.
+    template <class Ok>
+    const std::string* pop_warm(const SlotKind& kind, int slots, const std::string& image,
+                                Ok&& ok) const {
+        auto warm = warm_.find(image);
+        if (warm == warm_.end()) {
+            return nullptr;
+        }
+        const auto& idle = warm->second.idle;
+        if (idle.size() * idle.size() > where_.size()) {
+            return pop(kind, slots, [&](const std::string& machine) {
+                return idle.contains(machine) && ok(machine);
+            });
+        }
+        const std::string* best = nullptr;
+        int best_slots = 0;
+        for (const auto& machine : idle) {
+            const auto& [its_kind, its_slots] = where_.at(machine);
+            if (its_kind == kind && its_slots >= slots &&
+                (!best || std::tie(its_slots, machine) < std::tie(best_slots, *best)) &&
+                ok(machine)) {
+                best = &machine;
+                best_slots = its_slots;
+            }
+        }
+        return best;
+    }
     // The first machine, fewest idle slots first, that has `slots` and that `ok` accepts.
     template <class Ok> const std::string* pop(const SlotKind& kind, int slots, Ok&& ok) const {
         auto it = lists_.find(kind);
@@ -45,7 +83,21 @@
 
   private:
     std::map<SlotKind, std::map<int, std::set<std::string>>> lists_;
-    std::map<std::string, std::pair<SlotKind, int>> where_;
+    using Where = std::unordered_map<std::string, std::pair<SlotKind, int>>;
+    void unlist(Where::iterator it);
+    Where where_;
+    struct Warm {
+        std::unordered_set<std::string> idle; // listed machines that have the image
+        std::size_t machines = 0;             // that have it, listed or not
+    };
+    struct Images {
+        std::vector<std::string> names;
+        std::uint64_t version = 0;
+    };
+    // Puts the machine on the warm lists of its images, or takes it off.
+    void warm(const std::string& machine, bool listed);
+    std::unordered_map<std::string, Images> images_; // by machine, listed or not
+    std::unordered_map<std::string, Warm> warm_;     // by image
 };
 
 } // namespace orchidlanding
--- a/src/core/stealing.cpp
+++ b/src/core/stealing.cpp
@@ -364,7 +364,7 @@
         tell(peer, {Told::What::back, g.machine, g.id});
         return;
     }
-    start_remote(part, g, *job, *job->waiting.begin());
+    start_remote(part, g, *job, job->waiting.first());
 }
 
 // Sends the start of a task of ours to slots that another owner has handed over.
@@ -417,6 +417,7 @@
         }
     }
     order_.clear(); // it points into the wants of before
+    peer.acked = in.seen_term == term_ ? in.seen : 0;
     peer.wants = in.wants;
     peer.wants_at = now;
     peer.heard_at = now;
--- a/src/core/takeover.cpp
+++ b/src/core/takeover.cpp
@@ -181,10 +181,6 @@
     if (now > since_ + machines_.lease_bound_s()) {
         unaccounted_.clear();
     }
-    std::erase_if(unaccounted_, [&](const std::string& name) {
-        Machine* m = machines_.find(name);
-        return m && m->fenced;
-    });
     accounted_ = unaccounted_.empty();
     bool inventoried = std::all_of(peers_.begin(), peers_.end(),
                                    [](const auto& p) { return p.second.inventoried; });
