--- a/src/core/machine_table.h
+++ b/src/core/machine_table.h
@@ -70,9 +70,9 @@
     Time lease_end = 0; // by then the worker has given up this session if nobody renews it
     int unanswered = 0; // direct questions in a row
     bool on_roster = false;
-    bool roster_write = false;
-    bool draining = false; // for good: a notice, or failures
-    bool trimming = false; // more than is wanted: no new tasks, unless the wants grow again
+    bool roster_write = false; // wanted there
+    bool draining = false;     // for good: a notice, or failures
+    bool trimming = false;     // more than is wanted: no new tasks, unless the wants grow again
     bool releasing = false;
     std::string reserved_for; // the job that room was made for; see preemption.cpp
     Time reserved_until = 0;
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -36,7 +36,12 @@
                      const std::vector<MachineType>& types)
     : part_(part), facts_(facts), policy_(policy), authority_(authority), index_(index),
       calls_(budget, (authority.term(part) << 32) + 1), types_(types), term_(authority.term(part)),
-      since_(now), jobs_(chunk_tasks(facts)), machines_(facts.lease_s, facts.lease_s * kMargin),
+      since_(now),
+      roster_("machine/" + std::to_string(part) + "/", {part_key(part), term_}, facts, calls_,
+              [this](Time at, const CallReply& reply, const std::vector<std::string>& names) {
+                  on_roster(at, reply, names);
+              }),
+      jobs_(chunk_tasks(facts)), machines_(facts.lease_s, facts.lease_s * kMargin),
       teams_(facts.teams), gangs_(facts.gang_wait_s), fleet_(facts, policy, authority.term(part)),
       order_(
           facts_, policy_, jobs_, teams_,
@@ -83,12 +88,6 @@
     return nullptr;
 }
 
-std::string PartOwner::roster_prefix() const { return "machine/" + std::to_string(part_) + "/"; }
-
-std::string PartOwner::roster_key(const std::string& machine) const {
-    return roster_prefix() + machine;
-}
-
 // ---- Reports ----
 
 void PartOwner::report(Time now, RequestId request, const Report& report) {
@@ -126,7 +125,8 @@
     }
     m->last_report = now;
     if (!m->on_roster && !m->roster_write) {
-        write_roster(now, *m);
+        m->roster_write = true;
+        roster_.write(now, m->name, {m->endpoint, m->type.name, m->zone, m->spot});
     }
     apply(now, *m, report, 0);
     settle(now);
@@ -431,25 +431,19 @@
     return false;
 }
 
-void PartOwner::write_roster(Time now, Machine& m) {
-    Txn txn = guarded();
-    txn.then.push_back(
-        {roster_key(m.name), MachineRecord{m.endpoint, m.type.name, m.zone, m.spot}, {}});
-    m.roster_write = calls_.send_state(now, StateBudget::Use::user, std::move(txn),
-                                       [this, name = m.name](Time at, CallReply& reply) {
-                                           bool ok = wrote(reply, "roster");
-                                           Machine* machine = machines_.find(name);
-                                           if (!machine) {
-                                               return;
-                                           }
-                                           machine->roster_write = false;
-                                           if (ok) {
-                                               machine->on_roster = true;
-                                               relist(*machine);
-                                               place(at);
-                                               send_orders(at);
-                                           }
-                                       });
+// Machines that have come onto the roster may be used.
+void PartOwner::on_roster(Time now, const CallReply& reply, const std::vector<std::string>& names) {
+    wrote(reply, "roster");
+    for (const auto& name : names) {
+        if (Machine* machine = machines_.find(name)) {
+            machine->on_roster = true;
+            relist(*machine);
+        }
+    }
+    if (!names.empty()) {
+        place(now);
+        send_orders(now);
+    }
 }
 
 void PartOwner::save_progress(Time now) {
@@ -810,7 +804,7 @@
             fleet_.released(at, name);
             slots_.forget(name);
             unaccounted_.erase(name);
-            bool on_roster = m->on_roster;
+            bool on_roster = m->on_roster || m->roster_write;
             std::string zone = m->zone;
             // A peer may not have seen yet that its tasks there are gone, so the word stays.
             bool had_guests = m->guests_version > 0;
@@ -826,11 +820,7 @@
                 }
             }
             if (on_roster) {
-                Txn txn = guarded();
-                txn.then.push_back({roster_key(name), {}, {}});
-                // Lost, it only costs a later owner a wait.
-                calls_.send_state(at, StateBudget::Use::user, std::move(txn),
-                                  [this](Time, CallReply& r) { wrote(r, "roster"); });
+                roster_.drop(at, name);
             }
         }
         settle(at);
@@ -954,6 +944,7 @@
     }
     tend_gangs(now);
     end_reservations(now);
+    roster_.flush(now);
     watch(now);
     for (const auto& [id, job] : jobs_.all()) {
         if (job->open() && job->complete()) {
--- a/src/core/part_owner.h
+++ b/src/core/part_owner.h
@@ -11,6 +11,7 @@
 #include "core/job_index.h"
 #include "core/job_store.h"
 #include "core/machine_table.h"
+#include "core/roster.h"
 #include "core/slot_lists.h"
 #include "core/teams.h"
 #include "core/waiting_order.h"
@@ -196,7 +197,7 @@
     // Durable writes.
     Txn guarded() const;
     bool wrote(const CallReply& reply, const char* what);
-    void write_roster(Time now, Machine& machine);
+    void on_roster(Time now, const CallReply& reply, const std::vector<std::string>& names);
     void save_progress(Time now);
     void finish_job(Time now, Job& job);
     void reread_job(Time now, const std::string& id);
@@ -212,8 +213,6 @@
     Demand demand(Time now);
     const MachineType* type(const std::string& name) const;
     const MachineType& usual_type(const JobSpec& spec) const;
-    std::string roster_prefix() const;
-    std::string roster_key(const std::string& machine) const;
 
     int part_;
     Facts facts_;
@@ -225,6 +224,7 @@
     std::vector<const MachineType*> by_fetch_; // those that fetch images fastest first
     std::uint64_t term_;
     Time since_;
+    Roster roster_;
     JobStore jobs_;
     MachineTable machines_;
     SlotLists slots_;
--- /dev/null
+++ b/src/core/roster.cpp
@@ -0,0 +1,78 @@
+#include "core/roster.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace orchidlanding {
+
+Roster::Roster(std::string prefix, Condition guard, const Facts& facts, Calls& calls,
+               Answered answered)
+    : prefix_(std::move(prefix)), guard_(std::move(guard)), report_s_(facts.report_s),
+      most_(static_cast<std::size_t>(
+          std::clamp(calls.most_changes(StateBudget::Use::user), 1, std::max(1, facts.txn_ops)))),
+      calls_(calls), answered_(std::move(answered)) {}
+
+void Roster::write(Time now, const std::string& machine, MachineRecord record) {
+    drops_.erase(machine);
+    writes_[machine] = std::move(record);
+    flush(now);
+}
+
+void Roster::drop(Time now, const std::string& machine) {
+    writes_.erase(machine);
+    drops_.insert(machine);
+    flush(now);
+}
+
+// New machines first: they stand idle until they are on the roster.
+void Roster::flush(Time now) {
+    if (in_flight_ || now < next_ || (writes_.empty() && drops_.empty())) {
+        return;
+    }
+    Txn txn{{guard_}, {}};
+    std::map<std::string, MachineRecord> written;
+    std::set<std::string> dropped;
+    for (auto it = writes_.begin(); it != writes_.end() && txn.then.size() < most_; ++it) {
+        txn.then.push_back({prefix_ + it->first, it->second, {}});
+        written.insert(*it);
+    }
+    for (auto it = drops_.begin(); it != drops_.end() && txn.then.size() < most_; ++it) {
+        txn.then.push_back({prefix_ + *it, {}, {}});
+        dropped.insert(*it);
+    }
+    in_flight_ =
+        calls_.send_state(now, StateBudget::Use::user, std::move(txn),
+                          [this, written, dropped](Time at, CallReply& reply) {
+                              in_flight_ = false;
+                              std::vector<std::string> stand;
+                              if (reply.status == 200) {
+                                  for (const auto& [machine, record] : written) {
+                                      if (!drops_.contains(machine)) { // it has gone meanwhile
+                                          stand.push_back(machine);
+                                      }
+                                  }
+                              } else {
+                                  // It may take effect yet: written again it does no harm, nor
+                                  // dropped again.
+                                  for (const auto& [machine, record] : written) {
+                                      if (!drops_.contains(machine)) {
+                                          writes_.emplace(machine, record);
+                                      }
+                                  }
+                                  drops_.insert(dropped.begin(), dropped.end());
+                                  next_ = at + report_s_ / 6;
+                              }
+                              answered_(at, reply, stand);
+                              flush(at);
+                          });
+    if (in_flight_) {
+        for (const auto& [machine, record] : written) {
+            writes_.erase(machine);
+        }
+        for (const auto& machine : dropped) {
+            drops_.erase(machine);
+        }
+    }
+}
+
+} // namespace orchidlanding
--- a/src/core/takeover.cpp
+++ b/src/core/takeover.cpp
@@ -48,7 +48,7 @@
         }
         load(now, kProgress, "");
     } else if (prefix == kProgress) {
-        load(now, roster_prefix(), "");
+        load(now, roster_.prefix(), "");
     } else {
         loaded_ = true;
         calls_.log(Level::info, "event=part_loaded part=" + std::to_string(part_) +
@@ -118,9 +118,9 @@
         jobs_.load_progress(rest.substr(0, slash),
                             static_cast<std::uint32_t>(std::atoi(rest.c_str() + slash + 1)),
                             record->done);
-    } else if (item.key.starts_with(roster_prefix())) {
+    } else if (item.key.starts_with(roster_.prefix())) {
         const auto* record = std::get_if<MachineRecord>(&item.record);
-        std::string name = item.key.substr(roster_prefix().size());
+        std::string name = item.key.substr(roster_.prefix().size());
         const MachineType* t = record ? type(record->type) : nullptr;
         if (Machine* m = machines_.find(name)) { // it has reported while we were reading
             m->on_roster = true;
--- a/src/core/waiting_order.cpp
+++ b/src/core/waiting_order.cpp
@@ -12,6 +12,8 @@
 // Work for more than this many times the time there is cannot be done by then, though estimates err
 // and a team may get more CPUs than it has now.
 constexpr double kHopeless = 1.5;
+// A job that has waited for this many times as long as its last aim gives it is left behind.
+constexpr double kLeftBehind = 2;
 } // namespace
 
 WaitingOrder::WaitingOrder(const Facts& facts, const Policy& policy, JobStore& jobs,
@@ -155,9 +157,9 @@
     return order_;
 }
 
-void WaitingOrder::take_stock(Time, double slots, double left_slot_s) {
+void WaitingOrder::take_stock(Time now, double slots, double left_slot_s) {
     find_longest(slots, left_slot_s);
-    find_starving(slots);
+    find_starving(now, slots);
 }
 
 // A team whose work takes longer at the team's limit than all work takes on all machines decides
@@ -179,15 +181,26 @@
     }
 }
 
+bool WaitingOrder::left_behind(Time now, const Job& job) const {
+    double last = facts_.lease_s;
+    for (const auto& o : facts_.objectives) {
+        if (o.job_class == job.spec.job_class) {
+            bool own = o.kind == Objective::Kind::deadline;
+            last = std::max(last, own ? job.spec.deadline_s.value_or(0) * o.times : o.within_s);
+        }
+    }
+    return now > job.known_since + kLeftBehind * last;
+}
+
 // Under lasting overload some class or team would stand behind the others for ever. So a class with
-// jobs that have missed all their aims keeps an even share of the slots, and such a team the share
-// that its guarantee is of all guarantees, until half of its jobs are served. What it runs beyond
-// that stands in the order as before.
-void WaitingOrder::find_starving(double slots) {
+// jobs that are left behind keeps an even share of the slots, and such a team the share that its
+// guarantee is of all guarantees, until half of its jobs are served. What it runs beyond that
+// stands in the order as before. Sooner than that the share costs more aims than it saves: with
+// jobs that had only just missed theirs it took rechecks and theses alike below what they had.
+void WaitingOrder::find_starving(Time now, double slots) {
     struct Use {
         double running = 0;
-        bool waits = false;
-        bool late = false;
+        bool behind = false;
     };
     std::map<std::string, Use> classes; // in the teams' own measures
     std::map<std::string, Use> teams;
@@ -197,18 +210,17 @@
         if (!job->open() || !f) {
             continue;
         }
-        bool waits = !job->waiting.empty();
+        bool behind = !job->waiting.empty() && left_behind(now, *job);
         for (Use* use : {&classes[s.job_class], &teams[s.team]}) {
             use->running += job->placed * f->amount(s.cpus, s.gpus);
-            use->waits = use->waits || waits;
-            use->late = use->late || (waits && job->due >= late(*job));
+            use->behind = use->behind || behind;
         }
     }
     double even = slots / static_cast<double>(std::max<std::size_t>(1, classes_.size())) /
                   static_cast<double>(parts_with_teams_);
     kept_classes_.clear();
     for (const auto& [name, use] : classes) {
-        if (use.late && !classes_[name].half() && use.running < even) {
+        if (use.behind && !classes_[name].half() && use.running < even) {
             kept_classes_.insert(name);
         }
     }
@@ -216,7 +228,7 @@
     for (const auto& [name, use] : teams) {
         const TeamFacts& f = *teams_.facts(name);
         double share = f.amount(f.cpus, f.gpus) / std::max(1.0, guarantees_) * slots;
-        if (use.late && !served_teams_[name].half() && use.running < share) {
+        if (use.behind && !served_teams_[name].half() && use.running < share) {
             kept_teams_.insert(name);
         }
     }
--- a/src/core/waiting_order.h
+++ b/src/core/waiting_order.h
@@ -79,7 +79,8 @@
     static Time late(const Job& job) { return job.known_since + 1e6; }
     void plan(Time now);
     void find_longest(double slots, double left_slot_s);
-    void find_starving(double slots);
+    void find_starving(Time now, double slots);
+    bool left_behind(Time now, const Job& job) const;
 
     const Facts& facts_;
     const Policy& policy_;
