--- a/src/core/roster.cpp
+++ b/src/core/roster.cpp
@@ -24,47 +24,55 @@
     flush(now);
 }
 
-// New machines first: they stand idle until they are on the roster.
+// New machines first: they stand idle until they are on the roster. Where the budget has not enough
+// left for all, fewer go, or a large transaction would wait behind the single changes of others for
+// ever.
 void Roster::flush(Time now) {
-    if (in_flight_ || now < next_ || (writes_.empty() && drops_.empty())) {
+    if (in_flight_ || now < next_) {
         return;
     }
+    std::size_t most = std::min(most_, writes_.size() + drops_.size());
+    while (most > 0 && !send(now, most)) {
+        most /= 2;
+    }
+}
+
+bool Roster::send(Time now, std::size_t most) {
     Txn txn{{guard_}, {}};
     std::map<std::string, MachineRecord> written;
     std::set<std::string> dropped;
-    for (auto it = writes_.begin(); it != writes_.end() && txn.then.size() < most_; ++it) {
+    for (auto it = writes_.begin(); it != writes_.end() && txn.then.size() < most; ++it) {
         txn.then.push_back({prefix_ + it->first, it->second, {}});
         written.insert(*it);
     }
-    for (auto it = drops_.begin(); it != drops_.end() && txn.then.size() < most_; ++it) {
+    for (auto it = drops_.begin(); it != drops_.end() && txn.then.size() < most; ++it) {
         txn.then.push_back({prefix_ + *it, {}, {}});
         dropped.insert(*it);
     }
-    in_flight_ =
-        calls_.send_state(now, StateBudget::Use::user, std::move(txn),
-                          [this, written, dropped](Time at, CallReply& reply) {
-                              in_flight_ = false;
-                              std::vector<std::string> stand;
-                              if (reply.status == 200) {
-                                  for (const auto& [machine, record] : written) {
-                                      if (!drops_.contains(machine)) { // it has gone meanwhile
-                                          stand.push_back(machine);
-                                      }
-                                  }
-                              } else {
-                                  // It may take effect yet: written again it does no harm, nor
-                                  // dropped again.
-                                  for (const auto& [machine, record] : written) {
-                                      if (!drops_.contains(machine)) {
-                                          writes_.emplace(machine, record);
-                                      }
-                                  }
-                                  drops_.insert(dropped.begin(), dropped.end());
-                                  next_ = at + report_s_ / 6;
-                              }
-                              answered_(at, reply, stand);
-                              flush(at);
-                          });
+    in_flight_ = calls_.send_state(now, StateBudget::Use::user, std::move(txn),
+                                   [this, written, dropped](Time at, CallReply& reply) {
+                                       in_flight_ = false;
+                                       std::vector<std::string> stand;
+                                       bool ok = reply.status == 200;
+                                       // What failed may take effect yet: written again it does no
+                                       // harm, nor dropped again.
+                                       for (const auto& [machine, record] : written) {
+                                           if (drops_.contains(machine)) {
+                                               continue; // it has gone meanwhile
+                                           }
+                                           if (ok) {
+                                               stand.push_back(machine);
+                                           } else {
+                                               writes_.emplace(machine, record);
+                                           }
+                                       }
+                                       if (!ok) {
+                                           drops_.insert(dropped.begin(), dropped.end());
+                                           next_ = at + report_s_ / 6;
+                                       }
+                                       answered_(at, reply, stand);
+                                       flush(at);
+                                   });
     if (in_flight_) {
         for (const auto& [machine, record] : written) {
             writes_.erase(machine);
@@ -73,6 +81,7 @@
             drops_.erase(machine);
         }
     }
+    return in_flight_;
 }
 
 } // namespace orchidlanding
--- a/src/core/roster.h
+++ b/src/core/roster.h
@@ -26,6 +26,9 @@
     void flush(Time now);
 
   private:
+    // One transaction of at most so many changes; false: the budget does not let it go.
+    bool send(Time now, std::size_t most);
+
     std::string prefix_;
     Condition guard_;
     double report_s_;
--- a/tests/roster_test.cpp
+++ b/tests/roster_test.cpp
@@ -61,6 +61,29 @@
     EXPECT_EQ(d.stand.size(), 30u);
 }
 
+TEST(Roster, GoesInSmallerStepsWhereTheBudgetIsShort) {
+    Desk d;
+    while (d.budget.take(0, StateBudget::Use::user, 100)) {
+    }
+    while (d.budget.take(0, StateBudget::Use::user, 3)) { // a change or two more is all there is
+    }
+    for (int n = 0; n < 12; ++n) {
+        d.roster.write(0, name(n), {});
+    }
+    std::size_t changes = 0;
+    for (Time t = 0.001; t < 1; t += 0.001) { // others take what comes in, but for one change
+        d.roster.flush(t);
+        for (const auto& call : d.sent()) {
+            changes += std::get<Txn>(call.body).then.size();
+            d.reply(t, call, 200);
+        }
+        while (d.budget.take(t, StateBudget::Use::user, 2)) {
+        }
+    }
+    EXPECT_EQ(changes, 12u);
+    EXPECT_EQ(d.stand.size(), 12u);
+}
+
 TEST(Roster, WhatFailedOrHadNoAnswerIsSentAgain) {
     Desk d;
     d.roster.write(0, name(1), {});
