--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -189,14 +189,13 @@
     if (types_.empty() || state_answered_ < 0) {
         return false;
     }
-    double silent = now - state_answered_;
-    if (silent < facts_.report_s / 2) {
+    if (promises_.in_contact(now, state_answered_)) {
         return true;
     }
     if (promises_.alone(now)) {
         return false;
     }
-    return silent < facts_.lease_s / 3 || promises_.outage_is_everyones(now);
+    return now - state_answered_ < facts_.lease_s / 3 || promises_.outage_is_everyones(now);
 }
 
 void Controller::tick(Time now) {
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <string_view>
-#include <tuple>
 #include <utility>
 
 #include "core/parts.h"
--- a/src/core/poll_desk.cpp
+++ b/src/core/poll_desk.cpp
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "core/answers.h"
 #include "core/parts.h"
 
 namespace orchidlanding {
@@ -12,8 +13,6 @@
 constexpr int kConditionTimes = 4; // conditions that a transaction may have for each change
 constexpr double kShare = 0.25;    // of a node's even share of requests, when polls come one by one
 constexpr double kLongestWait = 1.0 / 6; // of a report time: users wait for about two thirds of one
-
-const char* name_of(Outcome outcome) { return outcome == Outcome::done ? "done" : "cancelled"; }
 } // namespace
 
 PollDesk::PollDesk(const Facts& facts, Calls& calls, JobIndex& index, Counts counts)
@@ -25,14 +24,6 @@
     gather_s_ = std::min(gather_s_, longest_wait_s_ / 2);
 }
 
-bool PollDesk::answer_final(RequestId request, const std::string& job) {
-    auto outcome = index_.outcome(job);
-    if (outcome) {
-        calls_.answer(request, 200, JobAnswer{job, name_of(*outcome), {}, {}});
-    }
-    return outcome.has_value();
-}
-
 void PollDesk::answer_open(RequestId request, const std::string& job) {
     std::uint32_t done = 0;
     std::uint32_t running = 0;
@@ -41,7 +32,7 @@
 }
 
 void PollDesk::poll(Time now, RequestId request, const std::string& job) {
-    if (answer_final(request, job)) {
+    if (answer_final(calls_, index_, request, job)) {
         return;
     }
     if (index_.version(job)) {
@@ -55,7 +46,7 @@
 
 void PollDesk::flush(Time now) {
     while (!waiting_.empty() && now - waiting_.front().since > longest_wait_s_) {
-        busy(waiting_.front().request);
+        answer_busy(calls_, waiting_.front().request);
         waiting_.pop_front();
     }
     while (!waiting_.empty() && now >= blocked_until_ &&
@@ -112,7 +103,7 @@
     }
     bool named = !reply.failed.empty();
     for (const auto& w : asked) {
-        if (answer_final(w.request, w.job)) {
+        if (answer_final(calls_, index_, w.request, w.job)) {
             continue;
         }
         if (reply.status == 200) {
@@ -122,7 +113,7 @@
         } else if (reply.status == 409 && named) {
             poll(now, w.request, w.job);
         } else {
-            busy(w.request);
+            answer_busy(calls_, w.request);
         }
     }
 }
@@ -136,7 +127,7 @@
         return;
     }
     for (RequestId request : requests) {
-        busy(request);
+        answer_busy(calls_, request);
     }
 }
 
@@ -153,7 +144,7 @@
         }
     }
     for (RequestId request : done.requests) {
-        if (answer_final(request, job)) {
+        if (answer_final(calls_, index_, request, job)) {
             continue;
         }
         if (found) {
@@ -161,7 +152,7 @@
         } else if (reply.status == 404) {
             calls_.answer(request, 404, Plain{"no such job"});
         } else {
-            busy(request);
+            answer_busy(calls_, request);
         }
     }
     std::vector<RequestId> again;
--- a/src/core/poll_desk.h
+++ b/src/core/poll_desk.h
@@ -33,13 +33,11 @@
         std::vector<RequestId> requests; // came before it was sent
         std::vector<RequestId> later;    // came after that: it does not answer them
     };
-    bool answer_final(RequestId request, const std::string& job);
     void answer_open(RequestId request, const std::string& job);
     void confirm(Time now);
     void confirmed(Time now, const std::vector<Waiting>& asked, const CallReply& reply);
     void read(Time now, const std::string& job, std::vector<RequestId> requests);
     void has_read(Time now, const std::string& job, const CallReply& reply);
-    void busy(RequestId request) { calls_.answer(request, 503, Plain{"state service"}, 1); }
 
     Calls& calls_;
     JobIndex& index_;
--- a/src/core/promises.cpp
+++ b/src/core/promises.cpp
@@ -23,10 +23,14 @@
     }
 }
 
+bool Promises::in_contact(Time now, Time contact) const {
+    return now - contact < kSilent * report_s_;
+}
+
 // ---- As the one who asks ----
 
 void Promises::tick(Time now, Time contact, Time complete_to, const Cancelled& cancelled) {
-    if (now - contact < kSilent * report_s_ || now < next_ask_) {
+    if (in_contact(now, contact) || now < next_ask_) {
         return;
     }
     next_ask_ = now + kAskAgain * longest_s_;
@@ -105,7 +109,7 @@
 PromiseReply Promises::answer(Time now, const PromiseAsk& ask, bool owns_or_claims, Time started,
                               Time contact) {
     PromiseReply reply;
-    reply.reaches = now - contact < kSilent * report_s_;
+    reply.reaches = in_contact(now, contact);
     if (ask.term == 0 || reply.reaches || owns_or_claims || ask.part == home_ ||
         ask.for_s > longest_s_) {
         return reply;
--- a/src/core/promises.h
+++ b/src/core/promises.h
@@ -24,6 +24,9 @@
     Promises(const Facts& facts, double longest_s, Calls& calls, Authority& authority,
              const JobIndex& index);
 
+    // Has the state service, which answered last at `contact`, answered of late?
+    bool in_contact(Time now, Time contact) const;
+
     // ---- As the one who asks ----
     // `contact`: when the state service last answered this node. `complete_to`: see
     // PromiseAsk::silent_s. `cancelled` is told of each job that siblings have seen cancelled,
--- a/src/core/user_desk.cpp
+++ b/src/core/user_desk.cpp
@@ -2,21 +2,13 @@
 
 #include <algorithm>
 
+#include "core/answers.h"
 #include "core/parts.h"
 
 namespace orchidlanding {
 
 namespace {
 std::string key_of(const std::string& job) { return kJobs + job; }
-
-const char* stage_of(Outcome outcome) {
-    switch (outcome) {
-    case Outcome::none: return "pending";
-    case Outcome::done: return "done";
-    case Outcome::cancelled: return "cancelled";
-    }
-    return "pending";
-}
 } // namespace
 
 std::string UserDesk::refusal(const JobSpec& s, const std::vector<MachineType>& types) const {
@@ -36,20 +28,11 @@
     return fits ? "" : "fits no allowed machine type";
 }
 
-bool UserDesk::answer_final(RequestId request, const std::string& id, int status) {
-    auto outcome = index_.outcome(id);
-    if (!outcome) {
-        return false;
-    }
-    calls_.answer(request, status, JobAnswer{id, stage_of(*outcome), {}, {}});
-    return true;
-}
-
 void UserDesk::submit(Time now, const Submit& submit, const std::vector<MachineType>& types) {
     const JobSpec& spec = submit.spec;
     // An accepted job's retry is answered with its state, whatever the settings say today; so
     // the job is looked for before it is refused.
-    if (answer_final(submit.request, spec.id, 200)) {
+    if (answer_final(calls_, index_, submit.request, spec.id)) {
         return;
     }
     if (types.empty()) {
@@ -67,13 +50,13 @@
             if (reply.status == 200) {
                 calls_.answer(request, 200, JobAnswer{id, "pending", {}, {}});
             } else if (reply.status != 404) {
-                busy(request);
+                answer_busy(calls_, request);
             } else {
                 calls_.answer(request, 422, Plain{why});
             }
         });
     if (!sent) {
-        busy(submit.request);
+        answer_busy(calls_, submit.request);
     }
 }
 
@@ -92,11 +75,11 @@
                                       calls_.answer(request, 200, JobAnswer{id, "pending", {}, {}});
                                   });
                               } else {
-                                  busy(request);
+                                  answer_busy(calls_, request);
                               }
                           });
     if (!sent) {
-        busy(request);
+        answer_busy(calls_, request);
     }
 }
 
@@ -108,7 +91,7 @@
                                           return;
                                       }
                                       if (reply.status != 200 || reply.items.empty()) {
-                                          busy(request);
+                                          answer_busy(calls_, request);
                                           return;
                                       }
                                       const KeyedRecord& item = reply.items[0];
@@ -117,20 +100,20 @@
                                       if (!record) {
                                           calls_.log(Level::error,
                                                      "event=unreadable_record key=" + key_of(id));
-                                          busy(request);
+                                          answer_busy(calls_, request);
                                       } else if (record->outcome != Outcome::none) {
-                                          answer_final(request, id, 200);
+                                          answer_final(calls_, index_, request, id);
                                       } else {
                                           then(at, item);
                                       }
                                   });
     if (!sent) {
-        busy(request);
+        answer_busy(calls_, request);
     }
 }
 
 void UserDesk::cancel(Time now, const Cancel& cancel, int tries_left) {
-    if (answer_final(cancel.request, cancel.job, 200)) {
+    if (answer_final(calls_, index_, cancel.request, cancel.job)) {
         return;
     }
     read(now, cancel.request, cancel.job,
@@ -145,15 +128,15 @@
                                    [this, cancel, tries_left](Time later, CallReply& reply) {
                                        if (reply.status == 200) {
                                            index_.saw_final(later, cancel.job, Outcome::cancelled);
-                                           answer_final(cancel.request, cancel.job, 200);
+                                           answer_final(calls_, index_, cancel.request, cancel.job);
                                        } else if (reply.status == 409 && tries_left > 0) {
                                            this->cancel(later, cancel, tries_left - 1);
                                        } else {
-                                           busy(cancel.request);
+                                           answer_busy(calls_, cancel.request);
                                        }
                                    });
              if (!sent) {
-                 busy(cancel.request);
+                 answer_busy(calls_, cancel.request);
              }
          });
 }
--- a/src/core/user_desk.h
+++ b/src/core/user_desk.h
@@ -21,11 +21,9 @@
   private:
     std::string refusal(const JobSpec& spec, const std::vector<MachineType>& types) const;
     void create(Time now, RequestId request, const JobSpec& spec);
-    bool answer_final(RequestId request, const std::string& id, int status);
     // Reads the job and answers with its state; `then` takes over when it is still open.
     using Open = std::function<void(Time, const KeyedRecord&)>;
     void read(Time now, RequestId request, const std::string& id, Open then);
-    void busy(RequestId request) { calls_.answer(request, 503, Plain{"state service"}, 1); }
 
     Calls& calls_;
     JobIndex& index_; // final outcomes never change, so they alone may be answered without a read
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -269,52 +269,52 @@
     bool silent = lost || late;
     at(now_ + way, [=, this] {
         CallReply reply;
-        if (const auto* peer = std::get_if<PeerCall>(&c.body)) {
-            int to = std::atoi(peer->node.c_str() + 1);
+        // Between nodes. The reply itself may be lost too; then the call runs out of time.
+        auto between = [&](const std::string& node, auto ask, auto take) {
+            int to = std::atoi(node.c_str() + 1);
+            at(now_ + 1.5, [=, this] { deliver(i, life, none); });
             if (!nodes_[to]->core || peers_cut_.contains({i, to})) {
-                at(now_ + 1.5, [=, this] { deliver(i, life, none); });
                 return;
             }
             RequestId request = next_request_++ + (1ULL << 40);
-            reports_[request] = [this, i, life, c, silent](const Answer& a) {
+            reports_[request] = [this, i, life, c, silent, take](const Answer& a) {
                 if (silent) {
                     return;
                 }
                 CallReply r;
                 r.call = c.id;
                 r.status = a.status;
-                if (const auto* body = std::get_if<ExchangeReply>(&a.body)) {
-                    r.exchange = *body;
-                    counts_.listed += static_cast<double>(body->held.size() + body->open.size() +
-                                                          body->machines.size());
-                }
+                take(a, r);
                 deliver(i, life, r);
             };
-            // The reply itself may be lost too; then the call runs out of time.
-            at(now_ + 1.5, [=, this] { deliver(i, life, none); });
-            input(to, PeerExchange{request, peer->exchange});
+            input(to, ask(request));
+        };
+        if (const auto* peer = std::get_if<PeerCall>(&c.body)) {
+            between(
+                peer->node,
+                [&](RequestId r) {
+                    return PeerExchange{r, peer->exchange};
+                },
+                [this](const Answer& a, CallReply& r) {
+                    if (const auto* body = std::get_if<ExchangeReply>(&a.body)) {
+                        r.exchange = *body;
+                        counts_.listed += static_cast<double>(
+                            body->held.size() + body->open.size() + body->machines.size());
+                    }
+                });
             return;
         }
         if (const auto* promise = std::get_if<PromiseCall>(&c.body)) {
-            int to = std::atoi(promise->node.c_str() + 1);
-            at(now_ + 1.5, [=, this] { deliver(i, life, none); });
-            if (!nodes_[to]->core || peers_cut_.contains({i, to})) {
-                return;
-            }
-            RequestId request = next_request_++ + (1ULL << 40);
-            reports_[request] = [this, i, life, c, silent](const Answer& a) {
-                if (silent) {
-                    return;
-                }
-                CallReply r;
-                r.call = c.id;
-                r.status = a.status;
-                if (const auto* body = std::get_if<PromiseReply>(&a.body)) {
-                    r.promise = *body;
-                }
-                deliver(i, life, r);
-            };
-            input(to, PeerPromise{request, promise->ask});
+            between(
+                promise->node,
+                [&](RequestId r) {
+                    return PeerPromise{r, promise->ask};
+                },
+                [](const Answer& a, CallReply& r) {
+                    if (const auto* body = std::get_if<PromiseReply>(&a.body)) {
+                        r.promise = *body;
+                    }
+                });
             return;
         }
         if (std::holds_alternative<Orders>(c.body)) {
