--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -14,15 +14,40 @@
 namespace {
 constexpr int kLongestPath = 256;
 constexpr int kBacklog = 128;
+constexpr std::size_t kRefusers = 4; // threads
+
+// This thread serves a connection that there is no thread for: it is only told to come back.
+thread_local bool overloaded = false;
 
 class Queue : public httplib::TaskQueue {
   public:
-    Queue(std::size_t most, double linger_s) : pool_(most, linger_s) {}
-    void enqueue(std::function<void()> work) override { pool_.enqueue(std::move(work)); }
-    void shutdown() override { pool_.stop(); }
+    Queue(std::size_t most, double linger_s)
+        : pool_(most, linger_s), refusers_(kRefusers, linger_s) {}
+    // A connection that is dropped would keep its socket and its user waiting. So what the pool
+    // cannot take is refused by a few threads of their own, and when these are taken too by the
+    // thread that accepts: what comes then waits in the backlog, and the load balancer tries
+    // another node.
+    void enqueue(std::function<void()> work) override {
+        if (pool_.enqueue(work)) {
+            return;
+        }
+        auto refuse = [work = std::move(work)] {
+            overloaded = true;
+            work();
+            overloaded = false;
+        };
+        if (!refusers_.enqueue(refuse)) {
+            refuse();
+        }
+    }
+    void shutdown() override {
+        pool_.stop();
+        refusers_.stop();
+    }
 
   private:
     ThreadPool pool_;
+    ThreadPool refusers_;
 };
 
 void refuse(httplib::Response& res, int status, const std::string& why, int retry_after_s = 0) {
@@ -47,6 +72,17 @@
 }
 } // namespace
 
+// The request is read to its end first, or closing the connection could take the answer with it.
+httplib::Server::Handler unless_overloaded(httplib::Server::Handler handler) {
+    return [handler = std::move(handler)](const httplib::Request& req, httplib::Response& res) {
+        if (overloaded) {
+            refuse(res, 503, "too many connections", 1);
+        } else {
+            handler(req, res);
+        }
+    };
+}
+
 // httplib listens with a backlog of five, too short for the connections of a burst.
 class Server::Http : public httplib::Server {
   public:
@@ -81,62 +117,53 @@
     });
     // Users give up on a submission after 5 s and on a poll after 2 s, workers after 4 s.
     double timeout_s = limits.report_s;
+    using Req = const httplib::Request&;
+    using Res = httplib::Response&;
+    // A message from the body of a request, put to the core.
+    auto post = [this](const std::string& path, auto ask) {
+        http_->Post(path, unless_overloaded([ask](Req req, Res res) {
+                        try {
+                            reply(res, ask(req.body));
+                        } catch (const wire::BadMessage& bad) {
+                            refuse(res, 400, bad.what());
+                        }
+                    }));
+    };
     if (side == Side::back) {
-        http_->Post(wire::kPeerPath, [this, timeout_s](const httplib::Request& req,
-                                                       httplib::Response& res) {
-            try {
-                reply(res, loop_.ask(PeerExchange{0, wire::parse_exchange(req.body)}, timeout_s));
-            } catch (const wire::BadMessage& bad) {
-                refuse(res, 400, bad.what());
-            }
+        post(wire::kPeerPath, [this, timeout_s](const std::string& body) {
+            return loop_.ask(PeerExchange{0, wire::parse_exchange(body)}, timeout_s);
         });
-        http_->Post(wire::kPromisePath, [this, timeout_s](const httplib::Request& req,
-                                                          httplib::Response& res) {
-            try {
-                reply(res, loop_.ask(PeerPromise{0, wire::parse_promise_ask(req.body)}, timeout_s));
-            } catch (const wire::BadMessage& bad) {
-                refuse(res, 400, bad.what());
-            }
+        post(wire::kPromisePath, [this, timeout_s](const std::string& body) {
+            return loop_.ask(PeerPromise{0, wire::parse_promise_ask(body)}, timeout_s);
         });
         return;
     }
-    http_->Post(wire::kJobsPath,
-                [this, timeout_s](const httplib::Request& req, httplib::Response& res) {
-                    try {
-                        reply(res, loop_.ask(Submit{0, wire::parse_job(req.body)}, timeout_s));
-                    } catch (const wire::BadMessage& bad) {
-                        refuse(res, 400, bad.what());
-                    }
-                });
-    http_->Get(R"(/work/([^/]+))",
-               [this, timeout_s](const httplib::Request& req, httplib::Response& res) {
-                   std::string id = req.matches[1];
-                   if (!wire::valid_job_id(id)) {
-                       refuse(res, 404, "no such job");
-                       return;
-                   }
-                   reply(res, loop_.ask(Poll{0, id}, timeout_s / 2));
-               });
-    http_->Post(R"(/work/([^/]+)/withdraw)",
-                [this, timeout_s](const httplib::Request& req, httplib::Response& res) {
-                    std::string id = req.matches[1];
-                    if (!wire::valid_job_id(id)) {
-                        refuse(res, 404, "no such job");
-                        return;
-                    }
-                    reply(res, loop_.ask(Cancel{0, id}, timeout_s));
-                });
-    http_->Post(
-        wire::kReportPath, [this, timeout_s](const httplib::Request& req, httplib::Response& res) {
-            try {
-                reply(res, loop_.ask(WorkerReport{0, wire::parse_report(req.body)}, timeout_s));
-            } catch (const wire::BadMessage& bad) {
-                refuse(res, 400, bad.what());
+    post(wire::kJobsPath, [this, timeout_s](const std::string& body) {
+        return loop_.ask(Submit{0, wire::parse_job(body)}, timeout_s);
+    });
+    post(wire::kReportPath, [this, timeout_s](const std::string& body) {
+        return loop_.ask(WorkerReport{0, wire::parse_report(body)}, timeout_s);
+    });
+    // What the path names a job for.
+    auto of_job = [](auto ask) {
+        return unless_overloaded([ask](Req req, Res res) {
+            std::string id = req.matches[1];
+            if (!wire::valid_job_id(id)) {
+                refuse(res, 404, "no such job");
+                return;
             }
+            reply(res, ask(id));
         });
-    http_->Get(wire::kReadyPath, [this](const httplib::Request&, httplib::Response& res) {
-        reply(res, loop_.ask(ReadyProbe{0}, 1));
-    });
+    };
+    http_->Get(R"(/work/([^/]+))", of_job([this, timeout_s](const std::string& id) {
+                   return loop_.ask(Poll{0, id}, timeout_s / 2);
+               }));
+    http_->Post(R"(/work/([^/]+)/withdraw)", of_job([this, timeout_s](const std::string& id) {
+                    return loop_.ask(Cancel{0, id}, timeout_s);
+                }));
+    http_->Get(wire::kReadyPath, unless_overloaded([this](Req, Res res) {
+                   reply(res, loop_.ask(ReadyProbe{0}, 1));
+               }));
 }
 
 Server::~Server() = default;
