Lending, borrowing, accounts, demand and renting are classes; behaviour unchanged

Moves of shares change who lends which machine, what a new owner must account for, and whom a job's owner listens to, so these become classes first, each the only writer of its state, with a narrow face for what it asks of the part: Claim, MachineTypes, Accounts, Lending, Borrowing, DemandBook, Renting.

--- /dev/null
+++ b/src/core/borrowing.cpp
@@ -0,0 +1,403 @@
+#include "core/borrowing.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace orchidlanding {
+
+namespace {
+constexpr double kMostBatch = 64;
+constexpr std::size_t kMostWants = 24; // jobs named in a call
+constexpr std::size_t kMostTold = 256; // words on tasks, and machines bought, in a call
+} // namespace
+
+Borrowing::Borrowing(Claim& claim, const Facts& facts, const Policy& policy, JobStore& jobs,
+                     Teams& teams, Gangs& gangs, WaitingOrder& order, DemandBook& demand,
+                     Calls& calls, Part& owner)
+    : claim_(claim), facts_(facts), policy_(policy), jobs_(jobs), teams_(teams), gangs_(gangs),
+      order_(order), demand_(demand), calls_(calls), owner_(owner) {
+    for (int p = 0; p < static_cast<int>(facts_.parts.size()); ++p) {
+        if (p != claim_.part()) {
+            peers_[p].batch = policy_.steal_batch;
+        }
+    }
+}
+
+void Borrowing::call(Time now) {
+    if (!claim_.usable(now)) {
+        return;
+    }
+    for (auto& [part, peer] : peers_) {
+        if (!peer.in_flight && now >= peer.next && !peer.node.empty()) {
+            call_peer(now, part, peer);
+        }
+    }
+}
+
+void Borrowing::call_soon() {
+    for (auto& [part, peer] : peers_) {
+        peer.next = 0;
+    }
+}
+
+bool Borrowing::all_inventoried() const {
+    return std::all_of(peers_.begin(), peers_.end(),
+                       [](const auto& p) { return p.second.inventoried; });
+}
+
+std::vector<Want> Borrowing::wants_for(Time now, const Peer& peer) {
+    std::vector<Want> wants;
+    std::vector<const Job*> waiting;
+    for (const auto& [id, job] : jobs_.all()) {
+        if (owner_.waits(now, *job)) {
+            waiting.push_back(job.get());
+        }
+    }
+    std::sort(waiting.begin(), waiting.end(), [&](const Job* a, const Job* b) {
+        return std::tuple(!order_.kept(a->spec), a->spec.priority, !order_.longest(a->spec.team),
+                          a->due, a->known_since) <
+               std::tuple(!order_.kept(b->spec), b->spec.priority, !order_.longest(b->spec.team),
+                          b->due, b->known_since);
+    });
+    // Many jobs, so that the peer can choose by image; it gives no more than the batch in all.
+    Teams room = teams_; // so that slots are not asked for beyond a team's limit
+    for (const Job* job : waiting) {
+        const JobSpec& s = job->spec;
+        Want w;
+        w.job = s.id;
+        w.kind = s.kind;
+        w.cpus = s.cpus;
+        w.gpus = s.gpus;
+        w.ram_gb = s.ram_gb;
+        w.image = s.image;
+        w.image_gb = s.image_gb;
+        w.types = s.types;
+        w.zone = s.zone;
+        w.spot = s.spot;
+        w.priority = s.priority;
+        w.longest = order_.longest(s.team);
+        w.kept = order_.kept(s);
+        w.borrows = !teams_.within_guarantee(s.team, s.cpus, s.gpus);
+        w.preempt = job->wants_room;
+        w.age_s = now - job->known_since;
+        w.due_s = std::max(0.0, job->due - now);
+        if (s.kind == JobKind::gang) {
+            auto n = static_cast<double>(job->waiting.size());
+            if (!room.fits(s.team, n * s.cpus, n * s.gpus) ||
+                !owner_.want_gang(*job, peer.calls % 2 == 1, w)) {
+                continue;
+            }
+            room.use(s.team, n * s.cpus, n * s.gpus);
+        }
+        while (s.kind != JobKind::gang && w.count < peer.batch && w.count < job->waiting.size() &&
+               room.fits(s.team, s.cpus, s.gpus)) {
+            room.use(s.team, s.cpus, s.gpus);
+            ++w.count;
+        }
+        if (w.count > 0) {
+            wants.push_back(std::move(w));
+        }
+        if (wants.size() == kMostWants) {
+            break;
+        }
+    }
+    return wants;
+}
+
+void Borrowing::call_peer(Time now, int part, Peer& peer) {
+    tell_ended(peer);
+    Exchange out;
+    out.from = claim_.part();
+    out.term = claim_.term();
+    out.to = part;
+    order_.get(now); // due times
+    ++peer.calls;
+    if (now >= peer.want_again) {
+        out.wants = wants_for(now, peer);
+    }
+    std::vector<Peer::Where> told;
+    for (const auto& [where, t] : peer.told) {
+        if (told.size() == kMostTold) {
+            break;
+        }
+        told.push_back(where);
+        out.told.push_back(t);
+    }
+    std::vector<std::string> bought;
+    for (const auto& [name, b] : demand_.bought()) {
+        if (part_of_machine(facts_, name, b.first.zone) == part && bought.size() < kMostTold) {
+            bought.push_back(name);
+            out.bought.push_back({name, b.first.type, b.first.zone, b.first.spot});
+        }
+    }
+    out.seen_term = peer.seen_term;
+    out.seen = peer.seen;
+    out.demand = demand_.standing(now).demand;
+    out.fleet = demand_.standing(now).fleet;
+    std::uint32_t asked = 0;
+    std::uint32_t gang = 0; // the largest
+    for (const auto& w : out.wants) {
+        asked += w.count;
+        gang = std::max(gang, w.kind == JobKind::gang ? w.count : 0);
+    }
+    asked = std::min(asked, std::max(gang, static_cast<std::uint32_t>(peer.batch)));
+    out.most = asked;
+    bool busy = asked > 0 || !peer.tasks.empty() || !peer.inventoried;
+    peer.next = now + (busy ? policy_.exchange_s : facts_.report_s / 3);
+    peer.in_flight = true;
+    calls_.send(PeerCall{peer.node, std::move(out)},
+                [this, part, asked, told, bought](Time at, CallReply& reply) {
+                    Peer& p = peers_.at(part);
+                    p.in_flight = false;
+                    if (reply.status != 200 || !reply.exchange || !claim_.usable(at)) {
+                        return;
+                    }
+                    for (const auto& where : told) {
+                        p.told.erase(where);
+                    }
+                    for (const auto& name : bought) {
+                        demand_.passed_on(name); // its owner counts it now, in this very reply
+                    }
+                    answered(at, part, asked, *reply.exchange);
+                });
+}
+
+void Borrowing::answered(Time at, int part, std::uint32_t asked, const ExchangeReply& reply) {
+    Peer& p = peers_.at(part);
+    heard(at, part, p, reply);
+    // The first batch is small; while everything asked for is given, the next is twice as large and
+    // follows at once.
+    if (asked > 0 && reply.grants.size() >= asked) {
+        p.batch = std::min(kMostBatch, p.batch * 2);
+        p.next = at;
+    } else {
+        p.batch = std::max(policy_.steal_batch, p.batch / 2);
+    }
+    if (std::any_of(p.told.begin(), p.told.end(),
+                    [](const auto& t) { return t.second.what == Told::What::back; })) {
+        // The slots go back at once, but asked for again at once they would come and go as fast as
+        // calls do.
+        p.next = at;
+        p.want_again = at + policy_.exchange_s;
+    }
+    owner_.after_reply(at);
+}
+
+// Tasks of ours that ended there: their machine may forget them once that is durable here.
+void Borrowing::tell_ended(Peer& peer) {
+    std::erase_if(peer.ended, [&](const auto& e) {
+        const HeldTask& h = e.second;
+        if (!owner_.end_is_durable(h.listed)) {
+            return false;
+        }
+        peer.told[e.first] = {Told::What::clear, h.machine, e.first.first};
+        return true;
+    });
+}
+
+// A word that does not wait for the next regular call.
+void Borrowing::tell(Peer& peer, Told told) {
+    Peer::Where where{told.id, told.machine};
+    peer.told[where] = std::move(told);
+    peer.next = 0;
+}
+
+void Borrowing::heard(Time now, int part, Peer& peer, const ExchangeReply& reply) {
+    if (reply.term < peer.heard_term) {
+        return;
+    }
+    peer.heard_term = reply.term;
+    demand_.heard(now, part, reply.demand, reply.fleet);
+    reconcile(now, part, peer, reply);
+    if (reply.settled && reply.clean && !peer.inventoried) {
+        peer.inventoried = true;
+        owner_.inventoried(now);
+    }
+    std::map<std::uint64_t, std::vector<Grant>> gangs;
+    for (const auto& grant : reply.grants) {
+        if ((grant.id.attempt & kGangBit) != 0) {
+            gangs[grant.id.attempt].push_back(grant);
+        } else {
+            use_grant(now, part, peer, grant);
+        }
+    }
+    for (const auto& [attempt, grants] : gangs) {
+        owner_.use_gang_grants(now, part, grants);
+    }
+}
+
+// For each machine that it covers, the reply lists every task of ours there and every slot whose
+// start has not shown. A task of ours that is in neither is not on that machine, once all of the
+// peer's machines are accounted for; nor is it on one that a full listing does not name.
+void Borrowing::reconcile(Time now, int part, Peer& peer, const ExchangeReply& reply) {
+    for (const auto& held : reply.held) {
+        take_held(now, part, peer, held);
+    }
+    if (!reply.settled) {
+        return;
+    }
+    take_absent(now, peer, reply);
+    if (reply.clean) { // from here on, changes will do
+        peer.seen_term = reply.term;
+        peer.seen = reply.version;
+    }
+}
+
+void Borrowing::take_held(Time now, int part, Peer& peer, const HeldTask& h) {
+    const ListedTask& t = h.listed;
+    StartId id = start_id(t.attempt, t.task.index);
+    Job* job = jobs_.find(t.task.job);
+    bool ours = job && t.task.index < job->spec.tasks;
+    auto it = remote_.find(t.task);
+    bool same =
+        it != remote_.end() && it->second.attempt == t.attempt && it->second.machine == h.machine;
+    bool waits = ours && job->tasks[t.task.index] == TaskState::waiting;
+    if (t.stage == TaskStage::exited) {
+        if (same) {
+            gone(now, t.task, t.why);
+        } else if (waits && t.why == ExitWhy::done && job->open()) {
+            owner_.found_done(now, *job, t.task.index);
+        }
+        peer.ended[{id, h.machine}] = h;
+        return;
+    }
+    bool gang = ours && job->spec.kind == JobKind::gang;
+    if (waits && (!gang || gangs_.adopt(now, t.task.job, t.attempt))) {
+        // started by an owner of this part before us
+        jobs_.place(*job, t.task.index, h.zone);
+        teams_.use(job->spec.team, job->spec.cpus, job->spec.gpus);
+        placed(peer, t.task, {t.attempt, part, h.machine, h.zone});
+        same = true;
+    }
+    bool moves = h.draining && ours && job->spec.kind == JobKind::service;
+    if (!same || !job->open() || moves) {
+        peer.told[{id, h.machine}] = {Told::What::stop, h.machine, id};
+        return;
+    }
+    if (h.shape_unknown) {
+        const JobSpec& s = job->spec;
+        peer.told[{id, h.machine}] = {
+            Told::What::shape, h.machine, id,        0, s.kind, s.cpus, s.gpus,
+            s.ram_gb,          s.image,   s.image_gb};
+    }
+    if (gang && t.stage == TaskStage::running) {
+        gangs_.runs(t.task.job);
+    }
+    if (gang && h.notice) {
+        owner_.end_attempt(now, t.task.job, true);
+    }
+}
+
+void Borrowing::take_absent(Time now, Peer& peer, const ExchangeReply& reply) {
+    std::set<StartId> open(reply.open.begin(), reply.open.end());
+    std::set<Peer::Where> present;
+    for (const auto& h : reply.held) {
+        present.insert({start_id(h.listed.attempt, h.listed.task.index), h.machine});
+    }
+    std::vector<TaskRef> absent;
+    auto look = [&](const std::set<TaskRef>& tasks) {
+        for (const auto& task : tasks) {
+            const Remote& r = remote_.at(task);
+            StartId id = start_id(r.attempt, task.index);
+            if (!open.contains(id) && !present.contains({id, r.machine})) {
+                absent.push_back(task);
+            }
+        }
+    };
+    if (reply.full) {
+        for (const auto& [machine, tasks] : peer.tasks) {
+            look(tasks);
+        }
+    } else {
+        for (const auto& machine : reply.machines) {
+            auto there = peer.tasks.find(machine);
+            if (there != peer.tasks.end()) {
+                look(there->second);
+            }
+        }
+    }
+    for (const auto& task : absent) {
+        gone(now, task, ExitWhy::none);
+    }
+}
+
+void Borrowing::placed(Peer& peer, const TaskRef& task, Remote remote) {
+    peer.tasks[remote.machine].insert(task);
+    remote_[task] = std::move(remote);
+}
+
+void Borrowing::gone(Time now, const TaskRef& task, ExitWhy why) {
+    auto it = remote_.find(task);
+    Remote r = it->second;
+    remote_.erase(it);
+    Peer& peer = peers_.at(r.part);
+    auto there = peer.tasks.find(r.machine);
+    there->second.erase(task);
+    if (there->second.empty()) {
+        peer.tasks.erase(there);
+    }
+    owner_.ended_there(now, task, why, r.zone);
+}
+
+bool Borrowing::grant_suits(const Job& job, const Grant& g) const {
+    const JobSpec& s = job.spec;
+    return s.cpus <= g.cpus && s.gpus <= g.gpus && s.ram_gb <= g.ram_gb && (s.spot || !g.spot) &&
+           s.allows_type(g.type) && job.allows_zone(g.zone) && teams_.fits(s.team, s.cpus, s.gpus);
+}
+
+void Borrowing::use_grant(Time now, int part, Peer& peer, const Grant& g) {
+    auto suits = [&](const Job& job) {
+        return job.spec.kind != JobKind::gang && owner_.waits(now, job) && grant_suits(job, g);
+    };
+    Job* job = jobs_.find(g.job);
+    if (!job || !suits(*job)) { // its tasks found slots meanwhile; another job may use these
+        job = nullptr;
+        for (const auto& [id, other] : jobs_.all()) {
+            if (suits(*other) && (!job || std::tie(other->spec.priority, other->known_since) <
+                                              std::tie(job->spec.priority, job->known_since))) {
+                job = other.get();
+            }
+        }
+    }
+    if (!job || !claim_.usable(now)) {
+        tell(peer, {Told::What::back, g.machine, g.id});
+        return;
+    }
+    start(part, g, *job, job->waiting.first());
+}
+
+// Sends the start of a task of ours to slots that another owner has handed over.
+void Borrowing::start(int part, const Grant& g, Job& job, std::uint32_t index) {
+    TaskRef task{job.spec.id, index};
+    jobs_.place(job, index, g.zone);
+    teams_.use(job.spec.team, job.spec.cpus, job.spec.gpus);
+    placed(peers_.at(part), task, {g.id.attempt, part, g.machine, g.zone});
+    Orders orders{g.machine, g.endpoint, g.token, g.session, {{Op::start, task, g.id.attempt, 0}}};
+    calls_.send(std::move(orders), [this, task, part, machine = g.machine,
+                                    id = g.id](Time at, CallReply& reply) {
+        unanswered_ = reply.status == 0 ? unanswered_ + 1 : 0;
+        auto it = remote_.find(task);
+        if (reply.status != 409 || it == remote_.end() || it->second.attempt != id.attempt ||
+            it->second.machine != machine) {
+            return; // executed, or in doubt until the machine's owner lists it or has fenced it
+        }
+        // Refused, so it never will be executed: the slots go back.
+        tell(peers_.at(part), {Told::What::back, machine, id});
+        gone(at, task, ExitWhy::none);
+    });
+}
+
+void Borrowing::give_back(int part, const Grant& g) {
+    tell(peers_.at(part), {Told::What::back, g.machine, g.id});
+}
+
+void Borrowing::stop_job(const std::string& id, double grace_s) {
+    for (auto it = remote_.lower_bound({id, 0}); it != remote_.end() && it->first.job == id; ++it) {
+        const Remote& r = it->second;
+        tell(peers_.at(r.part),
+             {Told::What::stop, r.machine, start_id(r.attempt, it->first.index), grace_s});
+    }
+}
+
+} // namespace orchidlanding
--- a/src/core/gang_placing.cpp
+++ b/src/core/gang_placing.cpp
@@ -8,18 +8,6 @@
 
 namespace orchidlanding {
 
-namespace {
-// Attempts left in a term when the part is claimed anew, under a later one.
-constexpr std::uint64_t kAttemptsLeft = 4096;
-} // namespace
-
-std::uint64_t PartOwner::new_attempt(int part, bool gang) {
-    if (next_attempt_ + kAttemptsLeft >= 1ULL << kCounterBits) {
-        deposed_ = true;
-    }
-    return make_attempt(term_, next_attempt_++, part, gang);
-}
-
 // The zones to try for a gang, each as its only one where it asks for that; else any mix of them.
 std::vector<std::string> PartOwner::gang_zones(bool one_zone) const {
     std::set<std::string> zones;
@@ -35,10 +23,10 @@
 }
 
 // Finds slots for as many of the members as there are, without striking any.
-PartOwner::GangPlan PartOwner::plan_gang(bool spot, const JobSpec& shape,
-                                         const std::vector<std::uint32_t>& members, const Job* job,
-                                         const std::string& zone,
-                                         std::map<std::string, std::uint32_t> in_zone) const {
+GangPlan PartOwner::plan_gang(bool spot, const JobSpec& shape,
+                              const std::vector<std::uint32_t>& members, const Job* job,
+                              const std::string& zone,
+                              std::map<std::string, std::uint32_t> in_zone) const {
     GangPlan plan;
     plan.in_zone = std::move(in_zone);
     for (std::uint32_t member : members) {
@@ -82,7 +70,7 @@
     const std::string id = job.spec.id;
     const Gangs::Attempt* attempt = gangs_.find(id);
     if (number == 0) {
-        number = attempt ? attempt->number : new_attempt(part_, true);
+        number = attempt ? attempt->number : claim_.new_attempt(part_, true);
     }
     if (!attempt) {
         gangs_.begin(now, id, number);
@@ -136,7 +124,7 @@
         }
         w.partial = true;
         if (!gathers && !members.empty()) {
-            gathering_ = Gathering{s.id, new_attempt(part_, true), {}, 0};
+            gathering_ = Gathering{s.id, claim_.new_attempt(part_, true), {}, 0};
         }
         w.attempt = gathering_ ? gathering_->attempt : 0;
     }
@@ -144,21 +132,17 @@
         return false; // our own slots will do
     }
     if (w.attempt == 0) {
-        w.attempt = new_attempt(part_, true);
+        w.attempt = claim_.new_attempt(part_, true);
     }
     w.count = static_cast<std::uint32_t>(members.size());
     w.members = std::move(members);
     return true;
 }
 
-void PartOwner::give_back(int part, const Grant& g) {
-    tell(peers_.at(part), {Told::What::back, g.machine, g.id});
-}
-
 void PartOwner::stop_gathering() {
     if (gathering_) {
         for (const auto& [member, held] : gathering_->held) {
-            give_back(held.first, held.second);
+            borrowing_.give_back(held.first, held.second);
         }
         gathering_.reset();
     }
@@ -171,7 +155,7 @@
     Job* job = jobs_.find(grants.front().job);
     std::uint64_t number = grants.front().id.attempt;
     bool gathers = gathering_ && gathering_->attempt == number;
-    bool ok = job && usable_now(now) && waits(now, *job) && gang_fits(*job);
+    bool ok = job && claim_.usable(now) && waits(now, *job) && gang_fits(*job);
     const Gangs::Attempt* attempt = ok ? gangs_.find(job->spec.id) : nullptr;
     ok = ok && (!attempt || attempt->number == number);
     std::map<std::uint32_t, std::pair<int, Grant>> held;
@@ -184,13 +168,13 @@
     }
     for (const auto& g : grants) {
         bool zone_ok =
-            ok && zone_allowed(*job, g.zone, in_zone[g.zone] + 1) &&
+            ok && job->allows_zone(g.zone, in_zone[g.zone] + 1) &&
             !(job->spec.one_zone && !held.empty() && held.begin()->second.second.zone != g.zone);
-        if (zone_ok && job->waiting.contains(g.id.index) && grant_suits(*job, g) &&
+        if (zone_ok && job->waiting.contains(g.id.index) && borrowing_.grant_suits(*job, g) &&
             held.emplace(g.id.index, std::pair(part, g)).second) {
             ++in_zone[g.zone];
         } else {
-            give_back(part, g);
+            borrowing_.give_back(part, g);
         }
     }
     if (!ok) {
@@ -217,7 +201,7 @@
         }
         start_gang(now, *job, rest, plan, number);
         for (const auto& [member, h] : held) {
-            start_remote(h.first, h.second, *job, member);
+            borrowing_.start(h.first, h.second, *job, member);
         }
     } else if (gathers) {
         gathering_->held = std::move(held);
@@ -226,7 +210,7 @@
         }
     } else {
         for (const auto& [member, h] : held) {
-            give_back(h.first, h.second);
+            borrowing_.give_back(h.first, h.second);
         }
     }
 }
@@ -234,7 +218,7 @@
 // Strikes all the slots that are wanted for a gang, or none; as many as there are if its owner
 // gathers the rest elsewhere.
 bool PartOwner::lend_gang(Time now, bool spot, int thief, Want& want) {
-    if (want.count == 0 || peers_.at(thief).left < want.count) {
+    if (want.count == 0 || lending_.left(thief) < want.count) {
         return false;
     }
     JobSpec shape = shape_wanted(want);
@@ -250,7 +234,7 @@
         return false;
     }
     for (std::size_t i = 0; i < n; ++i) {
-        lend(now, *machines_.find(best.machines[i]), thief, want, want.members[i]);
+        lending_.lend(now, *machines_.find(best.machines[i]), thief, want, want.members[i]);
     }
     want.count = 0; // asked and answered
     return true;
@@ -267,11 +251,7 @@
     calls_.log(Level::info, "event=gang_ends job=" + id + " placed=" + std::to_string(job->placed) +
                                 " saves=" + (saves ? "1" : "0"));
     double grace_s = saves ? kSaveTimes * job->spec.save_s : 0;
-    for (auto it = remote_.lower_bound({id, 0}); it != remote_.end() && it->first.job == id; ++it) {
-        const Remote& r = it->second;
-        tell(peers_.at(r.part),
-             {Told::What::stop, r.machine, start_id(r.attempt, it->first.index), grace_s});
-    }
+    borrowing_.stop_job(id, grace_s);
     for (auto& [name, m] : machines_.all()) {
         for (const auto& g : machines_.unqueue(m, &id)) {
             gone(now, name, g);
--- a/src/core/gangs.h
+++ b/src/core/gangs.h
@@ -4,10 +4,26 @@
 // every task of the one before is known gone.
 #pragma once
 
+#include "core/io.h"
 #include "core/job_store.h"
 
 namespace orchidlanding {
 
+struct GangPlan { // slots found for tasks of one shape, in their order
+    std::vector<std::string> machines;
+    std::map<std::string, std::uint32_t> on;
+    std::map<std::string, std::uint32_t> in_zone;
+};
+
+// A gang that no owner has room for alone: slots of several are held for a moment until they
+// are enough. One gang at a time, so that two of ours never hold halves.
+struct Gathering {
+    std::string job;
+    std::uint64_t attempt = 0;
+    std::map<std::uint32_t, std::pair<int, Grant>> held; // by task; with the part of the slots
+    Time until = 0;
+};
+
 class Gangs {
   public:
     // `wait_s`: how long the tasks of a gang wait for each other on their machines.
--- a/src/core/job_store.cpp
+++ b/src/core/job_store.cpp
@@ -9,6 +9,18 @@
 constexpr std::size_t kFinals = 20000;
 } // namespace
 
+bool Job::allows_zone(const std::string& zone, std::uint32_t more) const {
+    if (spec.zone && *spec.zone != zone) {
+        return false;
+    }
+    if (spec.one_zone && !zone_use.empty() && !zone_use.contains(zone)) {
+        return false;
+    }
+    auto it = zone_use.find(zone);
+    std::uint32_t there = it == zone_use.end() ? 0 : it->second;
+    return spec.may_spread(there + more);
+}
+
 Job* JobStore::find(const std::string& id) {
     auto it = jobs_.find(id);
     return it == jobs_.end() ? nullptr : it->second.get();
--- a/src/core/job_store.h
+++ b/src/core/job_store.h
@@ -38,6 +38,8 @@
 
     bool open() const { return outcome == Outcome::none; }
     bool complete() const { return done == spec.tasks; }
+    // May `more` of its tasks be placed in the zone?
+    bool allows_zone(const std::string& zone, std::uint32_t more = 1) const;
 };
 
 struct DirtyChunk {
--- /dev/null
+++ b/src/core/lending.h
@@ -0,0 +1,81 @@
+// The owner of machines and those who have tasks there, the owners of other parts: slots struck
+// from our lists and handed over, what each wants, and the listing by which each learns what became
+// of its tasks. "Stolen slots" and "What owners list for each other" in docs/design.md say why no
+// task runs twice. The paper's idle core taken from another scheduler core's list, as a call.
+#pragma once
+
+#include "core/demand_book.h"
+#include "core/waiting_order.h"
+
+namespace orchidlanding {
+
+// The slots that a want asks for, as a job of that shape.
+JobSpec shape_wanted(const Want& want);
+
+class Lending {
+  public:
+    struct Part { // what it needs of the part it works for
+        virtual ~Part() = default;
+        virtual void relist(Machine& machine) = 0;
+        // The wants have come, or changed: our idle slots go to whoever is first in order.
+        virtual void serve(Time now) = 0;
+        // A machine of this part was rented by the caller for all.
+        virtual void expect(Time now, const Bought& bought) = 0;
+        // Every machine of the part is accounted for.
+        virtual bool accounted() const = 0;
+    };
+    Lending(Claim& claim, const Facts& facts, MachineTable& machines, WaitingOrder& order,
+            DemandBook& demand, Calls& calls, Part& owner);
+
+    // The owner of another part calls as the owner of its jobs.
+    void exchange(Time now, RequestId request, const Exchange& in);
+    // What they want, for the waiting order.
+    std::vector<PeerWants> wanted();
+    // Slots that the thief takes at most before it calls again.
+    std::uint32_t left(int thief) const { return thieves_.at(thief).left; }
+    // Strikes slots for one task of the want on the machine, which must have them.
+    void lend(Time now, Machine& machine, int thief, Want& want, std::uint32_t member = 0);
+    // The machine's listing may have changed.
+    void note(Machine& machine);
+    // It is about to be taken off the table. A thief may not have seen yet that its tasks there are
+    // gone, so the word stays.
+    void note_gone(const Machine& machine);
+    // Raises the token of machines with slots whose start does not show.
+    void fence_lots(Time now);
+    // A task that ended on the machine is not known yet to the owner of its job.
+    bool owes_ends(const Machine& machine) const;
+    bool called_by_all() const;
+    std::uint64_t effort() const { return effort_; }
+
+  private:
+    struct Thief {
+        std::uint64_t term = 0;
+        std::uint64_t acked = 0; // the version of our listing that it has taken in
+        std::vector<Want> wants;
+        Time wants_at = 0;
+        std::uint32_t left = 0;
+        std::vector<Grant> grants;
+    };
+    void take_told(Machine& machine, const Told& told, int thief);
+    void take_shape(Machine& machine, const Told& told);
+    ExchangeReply listing_for(Time now, const Exchange& in);
+    void enter(const std::string& machine);
+    void list_guests(const std::string& machine, int thief, ExchangeReply& reply);
+
+    Claim& claim_;
+    const Facts& facts_;
+    MachineTable& machines_;
+    WaitingOrder& order_;
+    DemandBook& demand_;
+    Calls& calls_;
+    Part& owner_;
+    std::map<int, Thief> thieves_;
+    // Machines by when their listing of guests last changed, so that a thief is told of changes
+    // only.
+    std::map<std::uint64_t, std::string> log_;
+    std::uint64_t version_ = 1;
+    std::uint64_t floor_ = 0; // changes up to here may have been dropped from the log
+    std::uint64_t effort_ = 0;
+};
+
+} // namespace orchidlanding
--- a/src/core/machine_table.cpp
+++ b/src/core/machine_table.cpp
@@ -7,6 +7,19 @@
 
 namespace orchidlanding {
 
+Placement placement_of(const JobSpec& s) {
+    Placement p;
+    p.team = s.team;
+    p.kind = s.kind;
+    p.priority = s.priority;
+    p.cpus = s.cpus;
+    p.gpus = s.gpus;
+    p.ram_gb = s.ram_gb;
+    p.image = s.image;
+    p.image_gb = s.image_gb;
+    return p;
+}
+
 double Machine::free_cpus() const {
     double used = 0;
     for (const auto& [task, p] : tasks) {
--- a/src/core/machine_table.h
+++ b/src/core/machine_table.h
@@ -37,6 +37,9 @@
     bool shape_unknown = false; // a guest found by a new owner: its job's owner will tell
 };
 
+// What a task of such a job takes, not placed yet.
+Placement placement_of(const JobSpec& spec);
+
 // Slots handed over to the owner of another part, which sends the start itself under `token`.
 struct Lot {
     int thief = 0;
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -9,11 +9,6 @@
 namespace orchidlanding {
 
 namespace {
-// At most half of a job's tasks, rounded up, may be in one zone if it says so.
-bool may_spread(const JobSpec& s, std::uint32_t in_zone) {
-    return !s.spread || in_zone <= (s.tasks + 1) / 2;
-}
-
 std::uint32_t planned(const std::map<std::string, std::uint32_t>* plan, const std::string& where) {
     auto it = plan ? plan->find(where) : decltype(plan->end()){};
     return plan && it != plan->end() ? it->second : 0;
@@ -37,23 +32,7 @@
         }
         slots_.set_images(m.name, images, m.images_version);
     }
-    note_guests(m.name, &m);
-}
-
-bool PartOwner::zone_allowed(const Job& job, const std::string& zone, std::uint32_t more) const {
-    const JobSpec& s = job.spec;
-    if (s.zone && *s.zone != zone) {
-        return false;
-    }
-    if (s.one_zone && !job.zone_use.empty() && !job.zone_use.contains(zone)) {
-        return false;
-    }
-    if (s.spread) {
-        auto it = job.zone_use.find(zone);
-        std::uint32_t there = it == job.zone_use.end() ? 0 : it->second;
-        return may_spread(s, there + more);
-    }
-    return true;
+    lending_.note(m);
 }
 
 // The head of the first list that has enough idle slots for a task of this shape. `task` and
@@ -63,7 +42,7 @@
                                          const std::string& zone) const {
     // A machine that has the image before one that has to fetch it.
     for (bool warm : {true, false}) {
-        for (const MachineType* type : by_fetch_) {
+        for (const MachineType* type : types_.by_fetch()) {
             const MachineType& t = *type;
             if (!s.allows_type(t.name)) {
                 continue;
@@ -73,8 +52,8 @@
                 const Machine& m = machines_.all().at(name);
                 double n = 1 + planned(plan ? &plan->on : nullptr, name);
                 std::uint32_t more = 1 + planned(plan ? &plan->in_zone : nullptr, m.zone);
-                bool allowed = job ? zone_allowed(*job, m.zone, more)
-                                   : (!s.zone || *s.zone == m.zone) && may_spread(s, more);
+                bool allowed = job ? job->allows_zone(m.zone, more)
+                                   : (!s.zone || *s.zone == m.zone) && s.may_spread(more);
                 return allowed && (zone.empty() || zone == m.zone) && m.orders == 0 &&
                        m.kept_for(s.id) && m.free_cpus() >= n * s.cpus &&
                        m.free_ram() >= n * s.ram_gb && m.free_gpus() >= n * s.gpus &&
@@ -99,14 +78,14 @@
     if (!found) {
         return false;
     }
-    start_on(now, *machines_.find(*found), job, index, new_attempt(part_, false));
+    start_on(now, *machines_.find(*found), job, index, claim_.new_attempt(part_, false));
     return true;
 }
 
 void PartOwner::start_on(Time now, Machine& m, Job& job, std::uint32_t index,
                          std::uint64_t attempt) {
     const JobSpec& s = job.spec;
-    Placement p = shape_of(s);
+    Placement p = placement_of(s);
     p.attempt = attempt;
     p.borrows = !teams_.within_guarantee(s.team, s.cpus, s.gpus);
     machines_.queue_start(now, m, {s.id, index}, std::move(p));
@@ -121,7 +100,7 @@
 }
 
 void PartOwner::place(Time now) {
-    if (!loaded_ || !usable_now(now) || slots_.empty()) {
+    if (!loaded_ || !claim_.usable(now) || slots_.empty()) {
         return;
     }
     order_.stale();
@@ -133,6 +112,18 @@
     fill(now, false, true);
 }
 
+// Strikes slots from our lists for tasks of another part.
+void PartOwner::hand_over(Time now, bool spot, int thief, Want& want) {
+    JobSpec shape = shape_wanted(want);
+    while (want.count > 0 && lending_.left(thief) > 0) {
+        const std::string* found = find_slots(spot, shape, nullptr, nullptr);
+        if (!found) {
+            return;
+        }
+        lending_.lend(now, *machines_.find(*found), thief, want);
+    }
+}
+
 void PartOwner::fill(Time now, bool spot, bool spot_jobs) {
     using Shape = std::tuple<double, double, double>;
     std::set<Shape> full;
@@ -174,7 +165,7 @@
 bool PartOwner::suits(Time now, const Machine& m, const Candidate& c) const {
     if (c.want) {
         const Want& w = *c.want;
-        return w.count > 0 && peers_.at(c.thief).left > 0 && m.kept_for(w.job) &&
+        return w.count > 0 && lending_.left(c.thief) > 0 && m.kept_for(w.job) &&
                w.cpus <= m.free_cpus() && w.ram_gb <= m.free_ram() && w.gpus <= m.free_gpus() &&
                (!w.types ||
                 std::find(w.types->begin(), w.types->end(), m.type.name) != w.types->end()) &&
@@ -184,14 +175,14 @@
     return waits(now, *c.job) && m.kept_for(s.id) && s.cpus <= m.free_cpus() &&
            s.ram_gb <= m.free_ram() && s.gpus <= m.free_gpus() &&
            teams_.fits(s.team, s.cpus, s.gpus) && s.allows_type(m.type.name) &&
-           zone_allowed(*c.job, m.zone) && !m.holds_exited({s.id, c.job->waiting.first()});
+           c.job->allows_zone(m.zone) && !m.holds_exited({s.id, c.job->waiting.first()});
 }
 
 // The idle slots of one machine, as its report gives them. Of the candidates of the same rank, one
 // whose image the machine has goes before one due a little earlier whose image it would have to
 // fetch: while it is fetched, the slots stand idle.
 void PartOwner::place_on(Time now, Machine& m) {
-    if (!loaded_ || !usable_now(now) || !may_place(m) || m.orders != 0) {
+    if (!loaded_ || !claim_.usable(now) || !may_place(m) || m.orders != 0) {
         return;
     }
     const std::vector<Candidate>& order = order_.get(now);
@@ -230,9 +221,10 @@
                     lacking.insert(c);
                 }
             } else if (c->want) {
-                lend(now, m, c->thief, *c->want);
+                lending_.lend(now, m, c->thief, *c->want);
             } else {
-                start_on(now, m, *c->job, c->job->waiting.first(), new_attempt(part_, false));
+                start_on(now, m, *c->job, c->job->waiting.first(),
+                         claim_.new_attempt(part_, false));
             }
         }
     }
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -70,7 +70,7 @@
         ++effort_;
         if (!may_place(m) || m.orders != 0 || !m.reserved_for.empty() || (m.spot && !s.spot) ||
             !s.allows_type(m.type.name) || (s.zone && *s.zone != m.zone) ||
-            (job && !zone_allowed(*job, m.zone))) {
+            (job && !job->allows_zone(m.zone))) {
             continue;
         }
         auto rooms = room_on(now, m, s, guaranteed, tasks);
@@ -126,7 +126,7 @@
 }
 
 void PartOwner::press(Time now) {
-    if (!loaded_ || !usable_now(now)) {
+    if (!loaded_ || !claim_.usable(now)) {
         return;
     }
     std::erase_if(pressed_, [&](const auto& p) { return now > p.second; });
--- a/src/core/takeover.cpp
+++ b/src/core/takeover.cpp
@@ -8,14 +8,6 @@
 
 namespace orchidlanding {
 
-namespace {
-// A machine that lives answers a question, or comes by itself, within this many report times.
-constexpr double kTakeoverReports = 1.5;
-// Direct questions to a machine after a takeover: one for the session, one for the answer, one
-// more.
-constexpr int kProbes = 3;
-} // namespace
-
 void PartOwner::load(Time now, std::string prefix, std::string after) {
     bool sent = calls_.send_state(
         now, StateBudget::Use::user, Range{prefix, after},
@@ -52,7 +44,7 @@
     } else {
         loaded_ = true;
         calls_.log(Level::info, "event=part_loaded part=" + std::to_string(part_) +
-                                    " term=" + std::to_string(term_) +
+                                    " term=" + std::to_string(claim_.term()) +
                                     " jobs=" + std::to_string(jobs_.all().size()) +
                                     " machines=" + std::to_string(machines_.all().size()));
         // Machines that reported while we were reading listed tasks of jobs not known then.
@@ -61,52 +53,16 @@
             relist(m);
         }
         count_doubtful();
-        std::vector<std::string> silent(unaccounted_.begin(), unaccounted_.end());
-        for (const auto& name : silent) {
-            probe(now, name, kProbes);
-        }
+        accounts_.ask(now);
         settle(now);
     }
 }
 
 void PartOwner::take_record(Time now, const KeyedRecord& item) {
     if (item.key.starts_with(kJobs)) {
-        const auto* record = std::get_if<JobRecord>(&item.record);
-        std::string id = item.key.substr(sizeof(kJobs) - 1);
-        index_.saw(now, id, item.version, item.record);
-        if (!record || (record->outcome != Outcome::done && !record->spec)) {
-            calls_.log(Level::error, "event=unreadable_record key=" + item.key);
-            return;
-        }
-        if (record->spec && part_of_team(facts_, record->spec->team) != part_) {
-            if (record->outcome == Outcome::cancelled) {
-                jobs_.final(id, Outcome::cancelled); // its guests here are to stop
-            }
-            return; // another part's
-        }
-        if (record->outcome == Outcome::none) {
-            Job* added = jobs_.add(now, *record->spec, item.version);
-            if (added && !loaded_) {
-                added->in_doubt = true;
-            } else if (added) {
-                note_arrival(now, *record->spec);
-                for (auto& [part, peer] : peers_) {
-                    peer.next = 0; // it may have slots where we have none
-                }
-            }
-            if (added) {
-                order_.arrived(added->spec);
-            }
-            order_.stale();
-        } else if (record->outcome == Outcome::cancelled) {
-            // Its tasks may still be on machines and count for their team until they are gone.
-            if (!loaded_ && record->spec) {
-                jobs_.add(now, *record->spec, item.version);
-            }
-            cancelled(now, id);
-        } else {
-            jobs_.final(id, Outcome::done);
-        }
+        take_job(now, item);
+    } else if (item.key.starts_with(roster_.prefix())) {
+        take_machine(now, item);
     } else if (item.key.starts_with(kProgress)) {
         std::string rest = item.key.substr(sizeof(kProgress) - 1);
         auto slash = rest.find('/');
@@ -118,30 +74,69 @@
         jobs_.load_progress(rest.substr(0, slash),
                             static_cast<std::uint32_t>(std::atoi(rest.c_str() + slash + 1)),
                             record->done);
-    } else if (item.key.starts_with(roster_.prefix())) {
-        const auto* record = std::get_if<MachineRecord>(&item.record);
-        std::string name = item.key.substr(roster_.prefix().size());
-        const MachineType* t = record ? type(record->type) : nullptr;
-        if (Machine* m = machines_.find(name)) { // it has reported while we were reading
-            m->on_roster = true;
-            if (!m->fenced) {
-                unaccounted_.insert(name);
-            }
-            return;
+    }
+}
+
+void PartOwner::take_job(Time now, const KeyedRecord& item) {
+    const auto* record = std::get_if<JobRecord>(&item.record);
+    std::string id = item.key.substr(sizeof(kJobs) - 1);
+    index_.saw(now, id, item.version, item.record);
+    if (!record || (record->outcome != Outcome::done && !record->spec)) {
+        calls_.log(Level::error, "event=unreadable_record key=" + item.key);
+        return;
+    }
+    if (record->spec && part_of_team(facts_, record->spec->team) != part_) {
+        if (record->outcome == Outcome::cancelled) {
+            jobs_.final(id, Outcome::cancelled); // its guests here are to stop
         }
-        if (!t) {
-            calls_.log(Level::error, "event=unreadable_record key=" + item.key);
-            unaccounted_.insert(name); // fenced off: its lease bound is waited out
-            return;
+        return; // another part's
+    }
+    if (record->outcome == Outcome::none) {
+        Job* added = jobs_.add(now, *record->spec, item.version);
+        if (added && !loaded_) {
+            added->in_doubt = true;
+        } else if (added) {
+            demand_.arrived(now, *record->spec);
+            borrowing_.call_soon(); // others may have slots where we have none
         }
-        Machine& m = machines_.add(now, name, *t, record->zone, record->spot);
-        m.endpoint = record->endpoint;
-        m.on_roster = true;
-        m.last_report = now;
-        unaccounted_.insert(name);
+        if (added) {
+            order_.arrived(added->spec);
+        }
+        order_.stale();
+    } else if (record->outcome == Outcome::cancelled) {
+        // Its tasks may still be on machines and count for their team until they are gone.
+        if (!loaded_ && record->spec) {
+            jobs_.add(now, *record->spec, item.version);
+        }
+        cancelled(now, id);
+    } else {
+        jobs_.final(id, Outcome::done);
     }
 }
 
+void PartOwner::take_machine(Time now, const KeyedRecord& item) {
+    const auto* record = std::get_if<MachineRecord>(&item.record);
+    std::string name = item.key.substr(roster_.prefix().size());
+    const MachineType* t = record ? types_.find(record->type) : nullptr;
+    if (Machine* m = machines_.find(name)) { // it has reported while we were reading
+        m->on_roster = true;
+        if (!m->fenced) {
+            accounts_.expect(name);
+        }
+        return;
+    }
+    if (!t) {
+        calls_.log(Level::error, "event=unreadable_record key=" + item.key);
+        accounts_.expect(name); // fenced off: its lease bound is waited out
+        return;
+    }
+    Machine& m = machines_.add(now, name, *t, record->zone, record->spot);
+    m.endpoint = record->endpoint;
+    m.on_roster = true;
+    m.last_report = now;
+    accounts_.expect(name);
+}
+
 void PartOwner::watch(Time now) {
     if (watching_ || !loaded_ || now < next_watch_) {
         return;
@@ -159,7 +154,7 @@
                                           place(at);
                                           press(at);
                                           send_orders(at);
-                                          call_peers(at);
+                                          borrowing_.call(at);
                                           watch(at);
                                       } else if (reply.status == 410) {
                                           load(at, kJobs, "");
@@ -178,17 +173,11 @@
     if (settled_ || !loaded_) {
         return;
     }
-    if (now > since_ + machines_.lease_bound_s()) {
-        unaccounted_.clear();
-    }
-    accounted_ = unaccounted_.empty();
-    bool inventoried = std::all_of(peers_.begin(), peers_.end(),
-                                   [](const auto& p) { return p.second.inventoried; });
-    if (accounted_ && inventoried) {
+    if (accounts_.look(now) && borrowing_.all_inventoried()) {
         settled_ = true;
         count_doubtful();
         calls_.log(Level::info, "event=part_settled part=" + std::to_string(part_) +
-                                    " term=" + std::to_string(term_));
+                                    " term=" + std::to_string(claim_.term()));
         std::vector<std::string> ids;
         for (const auto& [id, job] : jobs_.all()) {
             ids.push_back(id);
@@ -222,50 +211,4 @@
     teams_.doubt(doubtful);
 }
 
-// After a takeover, the few machines that neither answer nor come to this owner while the rest do
-// are most likely gone. A release makes that certain long before their leases run out, and until it
-// is certain no older task can be placed.
-void PartOwner::release_missing(Time now) {
-    if (accounted_ || unaccounted_.size() * 2 > machines_.all().size()) {
-        return;
-    }
-    bool all = now - since_ > kTakeoverReports * facts_.report_s;
-    std::vector<std::string> missing;
-    for (const auto& name : unaccounted_) {
-        const Machine* m = machines_.find(name);
-        if (m && !m->reported && !m->releasing && (all || m->unanswered >= kProbes - 1)) {
-            missing.push_back(name);
-        }
-    }
-    if (!missing.empty() && now >= next_release_missing_) {
-        next_release_missing_ = now + facts_.report_s / 6;
-        release(now, missing);
-    }
-}
-
-// An empty direct command under our token: its answer is a listing, and nothing that carries an
-// older token can come after it. The first answer may only tell the session.
-void PartOwner::probe(Time, const std::string& name, int tries) {
-    Machine* m = machines_.find(name);
-    if (!m || m->fenced || m->releasing || m->endpoint.empty() || tries == 0) {
-        return;
-    }
-    calls_.send(Orders{name, m->endpoint, make_token(term_, m->sequence), m->session, {}},
-                [this, name, tries](Time at, CallReply& reply) {
-                    Machine* machine = machines_.find(name);
-                    if (!machine || !usable_now(at)) {
-                        return;
-                    }
-                    machine->unanswered = reply.status == 0 ? machine->unanswered + 1 : 0;
-                    if (reply.report && reply.report->machine == name) {
-                        if (reply.report->session > machine->lapsed_session) {
-                            machine->last_report = at;
-                        }
-                        apply(at, *machine, *reply.report, reply.call);
-                    }
-                    settle(at);
-                    probe(at, name, tries - 1);
-                });
-}
-
 } // namespace orchidlanding
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -40,6 +40,8 @@
     double save_s = 0;
     std::optional<double> deadline_s;
 
+    // At most half of the tasks, rounded up, may be in one zone if it says so.
+    bool may_spread(std::uint32_t in_zone) const { return !spread || in_zone <= (tasks + 1) / 2; }
     bool allows_type(const std::string& type) const {
         return !types || std::find(types->begin(), types->end(), type) != types->end();
     }
