--- a/src/core/accounts.cpp
+++ b/src/core/accounts.cpp
@@ -1,5 +1,7 @@
 #include "core/accounts.h"
 
+#include <algorithm>
+
 namespace orchidlanding {
 
 namespace {
@@ -14,33 +16,65 @@
                    Part& owner)
     : claim_(claim), facts_(facts), machines_(machines), calls_(calls), owner_(owner) {}
 
-void Accounts::ask(Time) {
-    for (const auto& name : open_) {
+void Accounts::seen(const Machine& machine) {
+    if (auto share = shares_.find(machine.share); share != shares_.end()) {
+        share->second.open.erase(machine.name);
+    }
+}
+
+void Accounts::read(const ShareId& share) {
+    Share& s = shares_.at(share);
+    s.read = true;
+    for (const auto& name : s.open) {
         probe(name, kProbes);
     }
 }
 
-bool Accounts::look(Time now) {
-    if (now > claim_.since() + machines_.lease_bound_s()) {
-        open_.clear();
+std::vector<ShareId> Accounts::look(Time now) {
+    std::vector<ShareId> news;
+    for (auto& [id, s] : shares_) {
+        if (s.done || !s.read) {
+            continue;
+        }
+        if (now > s.since + machines_.lease_bound_s()) {
+            s.open.clear();
+        }
+        s.done = s.open.empty();
+        if (s.done) {
+            news.push_back(id);
+        }
     }
-    done_ = open_.empty();
-    return done_;
+    return news;
+}
+
+bool Accounts::done(const ShareId& share) const {
+    auto it = shares_.find(share);
+    return it != shares_.end() && it->second.done;
+}
+
+bool Accounts::all_done() const {
+    return std::all_of(shares_.begin(), shares_.end(), [](const auto& s) { return s.second.done; });
 }
 
 void Accounts::release_missing(Time now) {
-    if (done_ || open_.size() * 2 > machines_.all().size()) {
+    std::size_t open = 0;
+    for (const auto& [id, s] : shares_) {
+        open += s.open.size();
+    }
+    if (open == 0 || open * 2 > machines_.all().size() || now < next_release_) {
         return;
     }
-    bool all = now - claim_.since() > kTakeoverReports * facts_.report_s;
     std::vector<std::string> missing;
-    for (const auto& name : open_) {
-        const Machine* m = machines_.find(name);
-        if (m && !m->reported && !m->releasing && (all || m->unanswered >= kProbes - 1)) {
-            missing.push_back(name);
+    for (const auto& [id, s] : shares_) {
+        bool all = now - s.since > kTakeoverReports * facts_.report_s;
+        for (const auto& name : s.open) {
+            const Machine* m = machines_.find(name);
+            if (m && !m->reported && !m->releasing && (all || m->unanswered >= kProbes - 1)) {
+                missing.push_back(name);
+            }
         }
     }
-    if (!missing.empty() && now >= next_release_) {
+    if (!missing.empty()) {
         next_release_ = now + facts_.report_s / 6;
         owner_.release(now, missing);
     }
@@ -53,7 +87,7 @@
     if (!m || m->fenced || m->releasing || m->endpoint.empty() || tries == 0) {
         return;
     }
-    calls_.send(Orders{name, m->endpoint, make_token(claim_.term(), m->sequence), m->session, {}},
+    calls_.send(Orders{name, m->endpoint, m->token(), m->session, {}},
                 [this, name, tries](Time at, CallReply& reply) {
                     Machine* machine = machines_.find(name);
                     if (!machine || !claim_.usable(at)) {
--- a/src/core/accounts.h
+++ b/src/core/accounts.h
@@ -21,15 +21,23 @@
     Accounts(const Claim& claim, const Facts& facts, MachineTable& machines, Calls& calls,
              Part& owner);
 
+    void begin(Time now, const ShareId& share) { shares_[share] = {now, false, false, {}}; }
+    void end(const ShareId& share) { shares_.erase(share); }
     // The machine may carry tasks that are not known.
-    void expect(const std::string& machine) { open_.insert(machine); }
+    void expect(const Machine& machine) { shares_.at(machine.share).open.insert(machine.name); }
+    // So may one of the share that is not known by more than its name.
+    void expect(const ShareId& share, const std::string& name) {
+        shares_.at(share).open.insert(name);
+    }
     // From here on its listings are all there is; or it is gone.
-    void seen(const std::string& machine) { open_.erase(machine); }
-    // Asks all that are open.
-    void ask(Time now);
-    // Looks whether all are accounted for.
-    bool look(Time now);
-    bool done() const { return done_; }
+    void seen(const Machine& machine);
+    // The share's roster has been read: its machines are asked.
+    void read(const ShareId& share);
+    bool is_read(const ShareId& share) const { return shares_.at(share).read; }
+    // Shares that are accounted for from now on.
+    std::vector<ShareId> look(Time now);
+    bool done(const ShareId& share) const;
+    bool all_done() const;
     // The few machines that neither answer nor come to this owner while the rest do are most likely
     // gone. A release makes that certain long before their leases run out, and until it is certain
     // no older task can be placed.
@@ -43,8 +51,13 @@
     MachineTable& machines_;
     Calls& calls_;
     Part& owner_;
-    std::set<std::string> open_;
-    bool done_ = false;
+    struct Share {
+        Time since = 0;
+        bool read = false;
+        bool done = false;
+        std::set<std::string> open;
+    };
+    std::map<ShareId, Share> shares_;
     Time next_release_ = 0;
 };
 
--- a/src/core/authority.h
+++ b/src/core/authority.h
@@ -47,10 +47,12 @@
     std::map<int, std::uint64_t> terms_;
 };
 
-// A worker token: the term in the upper bits, a sequence that the owner raises to fence below.
+// A worker token: the term of the machine's share in the upper bits, below it a sequence that the
+// holder raises to fence.
 inline constexpr int kSequenceBits = 20;
 inline std::uint64_t make_token(std::uint64_t term, std::uint64_t sequence) {
     return (term << kSequenceBits) | sequence;
 }
+inline std::uint64_t term_of_token(std::uint64_t token) { return token >> kSequenceBits; }
 
 } // namespace orchidlanding
--- a/src/core/borrowing.cpp
+++ b/src/core/borrowing.cpp
@@ -12,11 +12,12 @@
 constexpr std::size_t kMostTold = 256; // words on tasks, and machines bought, in a call
 } // namespace
 
-Borrowing::Borrowing(Claim& claim, const Facts& facts, const Policy& policy, JobStore& jobs,
-                     Teams& teams, Gangs& gangs, WaitingOrder& order, DemandBook& demand,
-                     Calls& calls, Part& owner)
-    : claim_(claim), facts_(facts), policy_(policy), jobs_(jobs), teams_(teams), gangs_(gangs),
-      order_(order), demand_(demand), calls_(calls), owner_(owner) {
+Borrowing::Borrowing(Claim& claim, const Facts& facts, const Policy& policy, const PartTable& table,
+                     const Holdings& holdings, JobStore& jobs, Teams& teams, Gangs& gangs,
+                     WaitingOrder& order, DemandBook& demand, Calls& calls, Part& owner)
+    : claim_(claim), facts_(facts), policy_(policy), table_(table), holdings_(holdings),
+      jobs_(jobs), teams_(teams), gangs_(gangs), order_(order), demand_(demand), calls_(calls),
+      owner_(owner) {
     for (int p = 0; p < static_cast<int>(facts_.parts.size()); ++p) {
         if (p != claim_.part()) {
             peers_[p].batch = policy_.steal_batch;
@@ -29,7 +30,7 @@
         return;
     }
     for (auto& [part, peer] : peers_) {
-        if (!peer.in_flight && now >= peer.next && !peer.node.empty()) {
+        if (!peer.in_flight && now >= peer.next && !table_.at(part).node.empty()) {
             call_peer(now, part, peer);
         }
     }
@@ -41,11 +42,6 @@
     }
 }
 
-bool Borrowing::all_inventoried() const {
-    return std::all_of(peers_.begin(), peers_.end(),
-                       [](const auto& p) { return p.second.inventoried; });
-}
-
 std::vector<Want> Borrowing::wants_for(Time now, const Peer& peer) {
     std::vector<Want> wants;
     std::vector<const Job*> waiting;
@@ -126,11 +122,13 @@
     }
     std::vector<std::string> bought;
     for (const auto& [name, b] : demand_.bought()) {
-        if (part_of_machine(facts_, name, b.first.zone) == part && bought.size() < kMostTold) {
+        if (table_.holder(share_of_machine(facts_, name, b.first.zone)) == part &&
+            bought.size() < kMostTold) {
             bought.push_back(name);
             out.bought.push_back({name, b.first.type, b.first.zone, b.first.spot});
         }
     }
+    out.given = peer.given;
     out.seen_term = peer.seen_term;
     out.seen = peer.seen;
     out.demand = demand_.standing(now).demand;
@@ -143,24 +141,26 @@
     }
     asked = std::min(asked, std::max(gang, static_cast<std::uint32_t>(peer.batch)));
     out.most = asked;
-    bool busy = asked > 0 || !peer.tasks.empty() || !peer.inventoried;
+    bool busy = asked > 0 || peer.tasks > 0 || !owner_.settled();
     peer.next = now + (busy ? policy_.exchange_s : facts_.report_s / 3);
     peer.in_flight = true;
-    calls_.send(PeerCall{peer.node, std::move(out)},
-                [this, part, asked, told, bought](Time at, CallReply& reply) {
-                    Peer& p = peers_.at(part);
-                    p.in_flight = false;
-                    if (reply.status != 200 || !reply.exchange || !claim_.usable(at)) {
-                        return;
-                    }
-                    for (const auto& where : told) {
-                        p.told.erase(where);
-                    }
-                    for (const auto& name : bought) {
-                        demand_.passed_on(name); // its owner counts it now, in this very reply
-                    }
-                    answered(at, part, asked, *reply.exchange);
-                });
+    calls_.send(
+        PeerCall{table_.at(part).node, std::move(out)},
+        [this, part, asked, told, bought, given = peer.given.size()](Time at, CallReply& reply) {
+            Peer& p = peers_.at(part);
+            p.in_flight = false;
+            if (reply.status != 200 || !reply.exchange || !claim_.usable(at)) {
+                return;
+            }
+            for (const auto& where : told) {
+                p.told.erase(where);
+            }
+            p.given.erase(p.given.begin(), p.given.begin() + static_cast<std::ptrdiff_t>(given));
+            for (const auto& name : bought) {
+                demand_.passed_on(name); // its owner counts it now, in this very reply
+            }
+            answered(at, part, asked, *reply.exchange);
+        });
 }
 
 void Borrowing::answered(Time at, int part, std::uint32_t asked, const ExchangeReply& reply) {
@@ -210,13 +210,12 @@
     peer.heard_term = reply.term;
     demand_.heard(now, part, reply.demand, reply.fleet);
     reconcile(now, part, peer, reply);
-    if (reply.settled && reply.clean && !peer.inventoried) {
-        peer.inventoried = true;
-        owner_.inventoried(now);
-    }
     std::map<std::uint64_t, std::vector<Grant>> gangs;
     for (const auto& grant : reply.grants) {
-        if ((grant.id.attempt & kGangBit) != 0) {
+        ShareId share = share_of_machine(facts_, grant.machine, grant.zone);
+        if (term_of_token(grant.token) < heard_[share]) {
+            give_back(part, grant); // its share has passed on since: the start would be refused
+        } else if ((grant.id.attempt & kGangBit) != 0) {
             gangs[grant.id.attempt].push_back(grant);
         } else {
             use_grant(now, part, peer, grant);
@@ -227,24 +226,62 @@
     }
 }
 
-// For each machine that it covers, the reply lists every task of ours there and every slot whose
+// What a reply says counts by share: only under the latest term that we know of, and not for shares
+// that we hold ourselves. `complete`: nothing has to be listed again.
+Borrowing::Listings Borrowing::current(int part, const ExchangeReply& reply, bool& complete) {
+    std::vector<ShareListing> listed;
+    if (reply.shares) {
+        listed = *reply.shares;
+    } else { // a node of the version before: it holds what is at home there
+        for (int number = 0; number < shares_at(facts_, part); ++number) {
+            listed.push_back({{part, number}, reply.term, reply.settled, reply.full});
+        }
+    }
+    Listings out;
+    for (const auto& l : listed) {
+        if (const Holdings::Share* own = holdings_.find(l.share)) {
+            // A later holder than we are: we gave it away and have not heard that it is done.
+            complete = complete && l.term < own->term;
+            continue;
+        }
+        std::uint64_t& heard = heard_[l.share];
+        if (l.term >= heard) {
+            heard = l.term;
+            out.emplace(l.share, l);
+        }
+    }
+    return out;
+}
+
+// For each share that it covers, the reply lists every task of ours there and every slot whose
 // start has not shown. A task of ours that is in neither is not on that machine, once all of the
-// peer's machines are accounted for; nor is it on one that a full listing does not name.
+// share's machines are accounted for and the share has been listed whole, of late or before.
 void Borrowing::reconcile(Time now, int part, Peer& peer, const ExchangeReply& reply) {
+    bool complete = reply.clean;
+    Listings listings = current(part, reply, complete);
     for (const auto& held : reply.held) {
-        take_held(now, part, peer, held);
-    }
-    if (!reply.settled) {
-        return;
+        auto l = listings.find(share_of_machine(facts_, held.machine, held.zone));
+        if (l != listings.end()) {
+            take_held(now, part, peer, held, l->second.term);
+        }
     }
-    take_absent(now, peer, reply);
-    if (reply.clean) { // from here on, changes will do
+    take_absent(now, reply, listings);
+    if (complete) { // from here on, changes will do
         peer.seen_term = reply.term;
         peer.seen = reply.version;
     }
+    std::size_t before = inventoried_.size();
+    for (const auto& [share, l] : listings) {
+        if (l.accounted && reply.clean) {
+            inventoried_.insert(share);
+        }
+    }
+    if (inventoried_.size() > before) {
+        owner_.inventoried(now);
+    }
 }
 
-void Borrowing::take_held(Time now, int part, Peer& peer, const HeldTask& h) {
+void Borrowing::take_held(Time now, int part, Peer& peer, const HeldTask& h, std::uint64_t term) {
     const ListedTask& t = h.listed;
     StartId id = start_id(t.attempt, t.task.index);
     Job* job = jobs_.find(t.task.job);
@@ -252,6 +289,9 @@
     auto it = remote_.find(t.task);
     bool same =
         it != remote_.end() && it->second.attempt == t.attempt && it->second.machine == h.machine;
+    if (same) {
+        rehome(it->second, id, part, term);
+    }
     bool waits = ours && job->tasks[t.task.index] == TaskState::waiting;
     if (t.stage == TaskStage::exited) {
         if (same) {
@@ -267,12 +307,17 @@
         // started by an owner of this part before us
         jobs_.place(*job, t.task.index, h.zone);
         teams_.use(job->spec.team, job->spec.cpus, job->spec.gpus);
-        placed(peer, t.task, {t.attempt, part, h.machine, h.zone});
+        placed(t.task, {t.attempt, part, h.machine, h.zone,
+                        share_of_machine(facts_, h.machine, h.zone), term});
         same = true;
     }
     bool moves = h.draining && ours && job->spec.kind == JobKind::service;
-    if (!same || !job->open() || moves) {
-        peer.told[{id, h.machine}] = {Told::What::stop, h.machine, id};
+    // The word that ends an attempt may have gone to who held the share before.
+    const Gangs::Attempt* attempt = gang ? gangs_.find(t.task.job) : nullptr;
+    bool ends = attempt && attempt->ending;
+    if (!same || !job->open() || moves || ends) {
+        double grace_s = same && ends && attempt->saves ? kSaveTimes * job->spec.save_s : 0;
+        peer.told[{id, h.machine}] = {Told::What::stop, h.machine, id, grace_s};
         return;
     }
     if (h.shape_unknown) {
@@ -289,32 +334,36 @@
     }
 }
 
-void Borrowing::take_absent(Time now, Peer& peer, const ExchangeReply& reply) {
+void Borrowing::take_absent(Time now, const ExchangeReply& reply, const Listings& listings) {
     std::set<StartId> open(reply.open.begin(), reply.open.end());
     std::set<Peer::Where> present;
     for (const auto& h : reply.held) {
         present.insert({start_id(h.listed.attempt, h.listed.task.index), h.machine});
     }
-    std::vector<TaskRef> absent;
-    auto look = [&](const std::set<TaskRef>& tasks) {
+    std::set<TaskRef> absent;
+    auto look = [&](const std::set<TaskRef>& tasks, bool whole) {
         for (const auto& task : tasks) {
             const Remote& r = remote_.at(task);
+            auto l = listings.find(r.share);
+            if (l == listings.end() || !l->second.accounted || r.term > l->second.term ||
+                (whole && !l->second.whole)) {
+                continue;
+            }
             StartId id = start_id(r.attempt, task.index);
             if (!open.contains(id) && !present.contains({id, r.machine})) {
-                absent.push_back(task);
+                absent.insert(task);
             }
         }
     };
-    if (reply.full) {
-        for (const auto& [machine, tasks] : peer.tasks) {
-            look(tasks);
+    if (std::any_of(listings.begin(), listings.end(),
+                    [](const auto& l) { return l.second.whole; })) {
+        for (const auto& [machine, tasks] : tasks_) {
+            look(tasks, true);
         }
-    } else {
-        for (const auto& machine : reply.machines) {
-            auto there = peer.tasks.find(machine);
-            if (there != peer.tasks.end()) {
-                look(there->second);
-            }
+    }
+    for (const auto& machine : reply.machines) {
+        if (auto there = tasks_.find(machine); there != tasks_.end()) {
+            look(there->second, false);
         }
     }
     for (const auto& task : absent) {
@@ -322,24 +371,96 @@
     }
 }
 
-void Borrowing::placed(Peer& peer, const TaskRef& task, Remote remote) {
-    peer.tasks[remote.machine].insert(task);
+// Its share is listed by another part than before, or by the same under a later term: what was said
+// of it goes there.
+void Borrowing::rehome(Remote& r, const StartId& id, int part, std::uint64_t term) {
+    r.term = std::max(r.term, term);
+    if (r.part == part) {
+        return;
+    }
+    Peer& from = peers_.at(r.part);
+    Peer& to = peers_.at(part);
+    if (auto told = from.told.extract({id, r.machine}); !told.empty()) {
+        to.told.insert(std::move(told));
+    }
+    --from.tasks;
+    ++to.tasks;
+    r.part = part;
+}
+
+void Borrowing::placed(const TaskRef& task, Remote remote) {
+    tasks_[remote.machine].insert(task);
+    ++peers_.at(remote.part).tasks;
     remote_[task] = std::move(remote);
 }
 
-void Borrowing::gone(Time now, const TaskRef& task, ExitWhy why) {
+Borrowing::Remote Borrowing::remove(const TaskRef& task) {
     auto it = remote_.find(task);
-    Remote r = it->second;
+    Remote r = std::move(it->second);
     remote_.erase(it);
-    Peer& peer = peers_.at(r.part);
-    auto there = peer.tasks.find(r.machine);
+    --peers_.at(r.part).tasks;
+    auto there = tasks_.find(r.machine);
     there->second.erase(task);
     if (there->second.empty()) {
-        peer.tasks.erase(there);
+        tasks_.erase(there);
     }
+    return r;
+}
+
+void Borrowing::gone(Time now, const TaskRef& task, ExitWhy why) {
+    Remote r = remove(task);
     owner_.ended_there(now, task, why, r.zone);
 }
 
+// ---- Moves of shares ----
+
+void Borrowing::tell_given(int part, const Given& given) {
+    peers_.at(part).given.push_back(given);
+    peers_.at(part).next = 0;
+}
+
+void Borrowing::sent_away(const TaskRef& task, Remote remote) {
+    std::uint64_t& heard = heard_[remote.share];
+    heard = std::max(heard, remote.term);
+    placed(task, std::move(remote));
+}
+
+void Borrowing::came_home(const ShareId& share, std::uint64_t term) { heard_[share] = term; }
+
+bool Borrowing::take_home(const TaskRef& task, std::uint64_t attempt, const std::string& machine) {
+    auto it = remote_.find(task);
+    if (it == remote_.end() || it->second.attempt != attempt || it->second.machine != machine) {
+        return false;
+    }
+    remove(task);
+    return true;
+}
+
+void Borrowing::gone_with(Time now, const std::string& machine) {
+    auto there = tasks_.find(machine);
+    if (there == tasks_.end()) {
+        return;
+    }
+    std::set<TaskRef> tasks = there->second;
+    for (const auto& task : tasks) {
+        gone(now, task, ExitWhy::none);
+    }
+}
+
+void Borrowing::gone_with(Time now, const ShareId& share) {
+    std::vector<TaskRef> tasks;
+    for (const auto& [task, r] : remote_) {
+        if (r.share == share) {
+            tasks.push_back(task);
+        }
+    }
+    for (const auto& task : tasks) {
+        gone(now, task, ExitWhy::none);
+    }
+}
+
+// ---- Slots handed over ----
+
 bool Borrowing::grant_suits(const Job& job, const Grant& g) const {
     const JobSpec& s = job.spec;
     return s.cpus <= g.cpus && s.gpus <= g.gpus && s.ram_gb <= g.ram_gb && (s.spot || !g.spot) &&
@@ -372,7 +493,8 @@
     TaskRef task{job.spec.id, index};
     jobs_.place(job, index, g.zone);
     teams_.use(job.spec.team, job.spec.cpus, job.spec.gpus);
-    placed(peers_.at(part), task, {g.id.attempt, part, g.machine, g.zone});
+    placed(task, {g.id.attempt, part, g.machine, g.zone,
+                  share_of_machine(facts_, g.machine, g.zone), term_of_token(g.token)});
     Orders orders{g.machine, g.endpoint, g.token, g.session, {{Op::start, task, g.id.attempt, 0}}};
     calls_.send(std::move(orders), [this, task, part, machine = g.machine,
                                     id = g.id](Time at, CallReply& reply) {
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -8,9 +8,7 @@
 namespace orchidlanding {
 
 namespace {
-constexpr char kParts[] = "part/";
 constexpr char kCatalog[] = "catalog";
-constexpr char kHomeEnd[] = "/home";
 constexpr int kUnanswered = 3; // direct commands in a row
 constexpr RequestId kLocalRequest = 1ULL << 62;
 } // namespace
@@ -25,10 +23,8 @@
                      return owner.second->counts(id, done, running);
                  });
              }),
-      promises_(facts_, policy.part_lease_s, calls_, authority_, index_),
-      parts_(facts.parts.size()) {}
-
-double Controller::tick_s() const { return facts_.report_s / 12; }
+      promises_(facts_, policy.part_lease_s, calls_, authority_, index_), table_(facts_),
+      capacity_(facts_, tick_s(facts_)) {}
 
 std::uint64_t Controller::effort() const {
     std::uint64_t sum = 0;
@@ -38,6 +34,16 @@
     return sum;
 }
 
+bool Controller::give(Time now, int part, const ShareId& share, int to) {
+    auto it = owners_.find(part);
+    return it != owners_.end() && it->second->give(now, share, to);
+}
+
+std::vector<ShareId> Controller::shares(int part) const {
+    auto it = owners_.find(part);
+    return it == owners_.end() ? std::vector<ShareId>{} : it->second->shares();
+}
+
 Outputs Controller::handle(Time now, Input input) {
     if (started_ < 0) {
         started_ = now;
@@ -137,13 +143,16 @@
 void Controller::on_report(Time now, const WorkerReport& in) {
     worker_heard_ = now; // whether or not it can be served
     abstain_leases_ = kAbstainLeases;
-    int part = part_of_machine(facts_, in.report.machine, in.report.zone);
-    auto it = owners_.find(part);
+    ShareId share = share_of_machine(facts_, in.report.machine, in.report.zone);
+    int part = table_.holder(share);
+    auto it = std::find_if(owners_.begin(), owners_.end(), [&](const auto& owner) {
+        return owner.first == part || owner.second->holds(share);
+    });
     if (it != owners_.end()) {
         it->second->report(now, in.request, in.report);
         return;
     }
-    const std::string& node = parts_[static_cast<std::size_t>(part)].node;
+    const std::string node = part < 0 ? "" : table_.at(part).node;
     calls_.answer(in.request, 421, Redirect{node == facts_.node ? "" : node});
 }
 
@@ -158,11 +167,11 @@
 
 void Controller::on_promise(Time now, const PeerPromise& in) {
     int part = in.ask.part;
-    if (part < 0 || part >= static_cast<int>(parts_.size())) {
+    if (part < 0 || part >= table_.count()) {
         calls_.answer(in.request, 400, Plain{"no such part"});
         return;
     }
-    bool after = authority_.holds(part) || parts_[static_cast<std::size_t>(part)].claiming;
+    bool after = authority_.holds(part) || claiming_.contains(part);
     calls_.answer(in.request, 200, promises_.answer(now, in.ask, after, started_, state_answered_));
 }
 
@@ -228,13 +237,10 @@
         abstain_leases_ *= 2;
         lose_all(now, "deaf");
     }
+    capacity_.tick(now);
+    bool may_move = promises_.in_contact(now, state_answered_);
     for (auto& [part, owner] : owners_) {
-        for (std::size_t p = 0; p < parts_.size(); ++p) {
-            if (static_cast<int>(p) != part) {
-                owner->know_owner(static_cast<int>(p), parts_[p].node);
-            }
-        }
-        owner->tick(now);
+        owner->tick(now, capacity_.value(), may_move);
     }
 }
 
@@ -314,49 +320,30 @@
 
 // ---- The claims ----
 
-// Who owns the parts? Asked about once a second even when the watch is silent; the answer also
-// shows whether the state service serves this node.
+// Who owns the parts, and who holds which shares? Asked about once a second even when the watch is
+// silent; the answer also shows whether the state service serves this node.
 void Controller::read_parts(Time now) {
     reading_ = true;
     next_read_ = now + facts_.report_s / 3;
-    calls_.send_state(now, StateBudget::Use::renewal, Range{kParts, ""},
+    calls_.send_state(now, StateBudget::Use::renewal, Range{PartTable::kPrefix, ""},
                       [this](Time at, CallReply& reply) {
                           reading_ = false;
-                          if (reply.status == 200) {
-                              state_answered_ = at;
-                              take_parts(at, reply);
+                          if (reply.status != 200) {
+                              return;
+                          }
+                          state_answered_ = at;
+                          if (table_.take(reply, calls_)) {
+                              take_parts(at);
                           }
                       });
 }
 
-void Controller::take_parts(Time now, const CallReply& reply) {
-    std::vector<PartState> seen(parts_.size());
-    bool readable = true;
-    for (const auto& item : reply.items) {
-        std::string rest = item.key.substr(sizeof(kParts) - 1);
-        auto p = static_cast<std::size_t>(std::atoi(rest.c_str()));
-        const auto* record = std::get_if<PartRecord>(&item.record);
-        if (!record || p >= seen.size()) {
-            calls_.log(Level::error, "event=unreadable_record key=" + item.key);
-            readable = readable && p >= seen.size();
-            continue;
-        }
-        if (rest.ends_with(kHomeEnd)) {
-            seen[p].home_waits = true;
-        } else {
-            seen[p].node = record->node;
-            seen[p].version = item.version;
-        }
-    }
-    if (!readable) {
-        return;
+void Controller::take_parts(Time now) {
+    for (auto& [part, owner] : owners_) {
+        owner->follow(now);
     }
-    for (std::size_t p = 0; p < seen.size(); ++p) {
-        PartState& s = parts_[p];
-        s.node = seen[p].node;
-        s.version = seen[p].version;
-        s.home_waits = seen[p].home_waits;
-        int part = static_cast<int>(p);
+    for (int part = 0; part < table_.count(); ++part) {
+        const PartTable::Part& s = table_.at(part);
         if (authority_.holds(part)) {
             if (s.home_waits && part != facts_.home) {
                 hand_back(now, part);
@@ -372,7 +359,7 @@
         bool gone = s.version == 0 && (part == facts_.home ||
                                        (now - started_ > 2 * facts_.report_s && !s.home_waits));
         if ((mine || gone) && authority_.valid(now) && !types_.empty() && now >= abstain_until_ &&
-            !s.claiming && promises_.may_claim(now, part, started_)) {
+            !claiming_.contains(part) && promises_.may_claim(now, part, started_)) {
             claim(now, part);
         }
     }
@@ -382,37 +369,41 @@
     if (watching_ || now < next_watch_) {
         return;
     }
-    watching_ =
-        calls_.send_state(now, StateBudget::Use::poll, Watch{kParts, watch_from_, facts_.lease_s},
-                          [this](Time at, CallReply& reply) {
-                              watching_ = false;
-                              if (reply.status == 200) {
-                                  bool news = !reply.items.empty() || !reply.deleted.empty();
-                                  watch_from_ = std::max(watch_from_, reply.revision);
-                                  if (news && !reading_) {
-                                      read_parts(at);
-                                  }
-                              } else {
-                                  watch_from_ = reply.status == 410 ? 0 : watch_from_;
-                                  next_watch_ = at + facts_.report_s / 3;
-                              }
-                          });
+    watching_ = calls_.send_state(
+        now, StateBudget::Use::poll, Watch{PartTable::kPrefix, watch_from_, facts_.lease_s},
+        [this](Time at, CallReply& reply) {
+            watching_ = false;
+            if (reply.status == 200) {
+                bool news = !reply.items.empty() || !reply.deleted.empty();
+                watch_from_ = std::max(watch_from_, reply.revision);
+                if (news && !reading_) {
+                    read_parts(at);
+                } else if (news) {
+                    next_read_ = at; // the one under way may be older
+                }
+            } else {
+                watch_from_ = reply.status == 410 ? 0 : watch_from_;
+                next_watch_ = at + facts_.report_s / 3;
+            }
+        });
 }
 
 void Controller::claim(Time now, int part) {
-    PartState& s = parts_[static_cast<std::size_t>(part)];
-    s.claiming = true;
+    const PartTable::Part& s = table_.at(part);
+    claiming_.insert(part);
     Txn txn;
     txn.when.push_back({part_key(part), s.version});
-    txn.then.push_back({part_key(part), PartRecord{facts_.node}, authority_.lease()});
+    txn.then.push_back({part_key(part), PartRecord{facts_.node, true}, authority_.lease()});
     if (s.home_waits && part == facts_.home) {
-        txn.then.push_back({part_key(part) + kHomeEnd, {}, {}});
+        txn.then.push_back({PartTable::home_key(part), {}, {}});
+    }
+    if (part != facts_.home && s.version == 0) {
+        spread_shares(txn, part);
     }
     calls_.send_state(
         now, StateBudget::Use::renewal, std::move(txn),
         [this, part, lease = authority_.lease()](Time at, CallReply& reply) {
-            PartState& state = parts_[static_cast<std::size_t>(part)];
-            state.claiming = false;
+            claiming_.erase(part);
             next_read_ = at;
             // Without an answer the claim may take effect yet: then the key names this node,
             // and the next read leads to a new claim over it.
@@ -421,18 +412,45 @@
             }
             authority_.claimed(part, reply.revision);
             worker_heard_ = at; // its machines have only now reason to come to this node
-            state.node = facts_.node;
-            state.version = reply.revision;
+            table_.claimed(part, facts_.node, reply.revision);
             calls_.log(Level::info, "event=part_claimed part=" + std::to_string(part) +
                                         " term=" + std::to_string(reply.revision));
             owners_[part] = std::make_unique<PartOwner>(at, part, facts_, policy_, authority_,
-                                                        budget_, index_, types_);
+                                                        table_, budget_, index_, types_);
+            if (!reading_) {
+                read_parts(at); // it acts for nothing before it has seen the map
+            }
         });
 }
 
+// The machines of a part whose owner is gone go to all who are there, not to the one that takes the
+// part's teams up: in the claim itself, so that there is no moment between. What does not fit into
+// it stays with the part.
+void Controller::spread_shares(Txn& txn, int part) const {
+    std::vector<int> takers;
+    for (int p = 0; p < table_.count(); ++p) {
+        if (table_.at(p).node == facts_.parts[static_cast<std::size_t>(p)].node) {
+            takers.push_back(p);
+        }
+    }
+    if (!table_.may_change(facts_.txn_ops)) {
+        return;
+    }
+    Holders readable = table_.holders();
+    std::erase_if(readable, [&](const auto& h) { return !table_.readable(h.first); });
+    std::size_t most = static_cast<std::size_t>(std::max(0, facts_.txn_ops - 2));
+    Holders next = spread(readable, part, takers, most);
+    if (!next.empty()) {
+        txn.when = table_.unchanged();
+    }
+    for (auto& [home, holders] : next) {
+        table_.change(txn, home, std::move(holders));
+    }
+}
+
 // A node that has been up for a while asks for its home part back.
 void Controller::ask_back(Time now) {
-    const PartState& s = parts_[static_cast<std::size_t>(facts_.home)];
+    const PartTable::Part& s = table_.at(facts_.home);
     bool elsewhere = !s.node.empty() && s.node != facts_.node;
     if (!elsewhere || s.home_waits || asking_ || now < next_ask_ || !authority_.valid(now) ||
         now - started_ < facts_.lease_s || now < abstain_until_ || types_.empty()) {
@@ -440,7 +458,7 @@
     }
     Txn txn;
     txn.then.push_back(
-        {part_key(facts_.home) + kHomeEnd, PartRecord{facts_.node}, authority_.lease()});
+        {PartTable::home_key(facts_.home), PartRecord{facts_.node, true}, authority_.lease()});
     next_ask_ = now + facts_.report_s;
     asking_ = calls_.send_state(now, StateBudget::Use::progress, std::move(txn),
                                 [this](Time, CallReply&) { asking_ = false; });
@@ -454,7 +472,7 @@
     txn.then.push_back({part_key(part), {}, {}});
     // Lost, the key still names this node, which then claims the part anew.
     calls_.send_state(now, StateBudget::Use::renewal, std::move(txn), [](Time, CallReply&) {});
-    parts_[static_cast<std::size_t>(part)].claiming = false;
+    claiming_.erase(part);
 }
 
 void Controller::drop(int part, const char* why) {
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -16,26 +16,26 @@
 
     Outputs handle(Time now, Input input);
     // How long the core may be left alone when nothing comes in.
-    double tick_s() const;
+    double tick_s() const { return tick_s(facts_); }
+    static double tick_s(const Facts& facts) { return facts.report_s / 12; }
     // See PartOwner::effort.
     std::uint64_t effort() const;
+    // Gives a share that a part of this node holds to another part, as `Balance` would. False: not
+    // now.
+    bool give(Time now, int part, const ShareId& share, int to);
+    // The shares that a part of this node holds; none: it does not own the part.
+    std::vector<ShareId> shares(int part) const;
 
   private:
     static constexpr double kAbstainLeases = 2;
-    // What is known of a part's key.
-    struct PartState {
-        std::string node;          // its owner, empty: none
-        std::uint64_t version = 0; // of the key, 0: absent
-        bool home_waits = false;   // its home node asks to have it back
-        bool claiming = false;
-    };
     void tick(Time now);
     void fetch_catalog(Time now);
     void read_catalog(Time now);
     void grant_lease(Time now);
     void renew(Time now);
     void read_parts(Time now);
-    void take_parts(Time now, const CallReply& reply);
+    void take_parts(Time now);
+    void spread_shares(Txn& txn, int part) const;
     void watch_parts(Time now);
     void claim(Time now, int part);
     void ask_back(Time now);
@@ -59,7 +59,9 @@
     PollDesk polls_;
     Promises promises_;
     std::map<int, std::unique_ptr<PartOwner>> owners_;
-    std::vector<PartState> parts_;
+    PartTable table_;
+    Capacity capacity_;
+    std::set<int> claiming_;
     std::vector<MachineType> types_;
     bool fetching_ = false;
     bool granting_ = false;
--- a/src/core/demand_book.cpp
+++ b/src/core/demand_book.cpp
@@ -124,7 +124,7 @@
         return standing_;
     }
     until_ = now + policy_.exchange_s;
-    standing_ = {demand(now), {}};
+    standing_ = {demand(now), {0, 0, capacity_}};
     for (const auto& [name, m] : machines_.all()) {
         ++effort_;
         if (fleet_.usable(now, m)) {
--- a/src/core/demand_book.h
+++ b/src/core/demand_book.h
@@ -31,6 +31,14 @@
     void heard(Time now, int part, const Demand& demand, const FleetView& fleet);
     // Of all parts together.
     Totals totals(Time now);
+    // What the part's owner says of its processor from now on.
+    void set_capacity(double capacity) { capacity_ = capacity; }
+    struct Peer {
+        Time heard_at = 0;
+        Demand demand;
+        FleetView fleet;
+    };
+    const std::map<int, Peer>& peers() const { return peers_; }
 
     // Machines rented by this owner that belong to other parts: counted here until their owners
     // know of them.
@@ -55,15 +63,11 @@
     const Teams& teams_;
     const MachineTable& machines_;
     const Fleet& fleet_;
-    struct Peer {
-        Time heard_at = 0;
-        Demand demand;
-        FleetView fleet;
-    };
     std::map<int, Peer> peers_;
     BoughtMachines bought_;
     Standing standing_;
     Time until_ = 0;
+    double capacity_ = 1;
     struct Arrival {
         Time at = 0;
         double slots = 0;
--- a/src/core/gangs.h
+++ b/src/core/gangs.h
@@ -9,6 +9,9 @@
 
 namespace orchidlanding {
 
+// The time to save that a task is given, in times of what it says it needs.
+inline constexpr double kSaveTimes = 2;
+
 struct GangPlan { // slots found for tasks of one shape, in their order
     std::vector<std::string> machines;
     std::map<std::string, std::uint32_t> on;
--- a/src/core/io.h
+++ b/src/core/io.h
@@ -1,7 +1,7 @@
 // Inputs and outputs of the core. The core never waits: it answers an input with what to do.
 #pragma once
 
-#include "core/types.h"
+#include "core/shares.h"
 
 namespace orchidlanding {
 
@@ -82,6 +82,8 @@
 struct FleetView { // slots of the usable machines of a part
     double ordinary = 0;
     double spot = 0;
+    double capacity = 1; // of its owner's processor, see balance.h
+    double slots() const { return ordinary + spot; }
 };
 struct Bought { // a machine of the callee's part, rented by the caller for all
     std::string machine;
@@ -89,6 +91,11 @@
     std::string zone;
     bool spot = false;
 };
+struct Given { // a share that the caller gave to the callee's part
+    ShareId share;
+    std::uint64_t revision = 0; // of the transaction that did
+    std::uint64_t term = 0;     // of the callee's claim that it was given to
+};
 struct Exchange {
     int from = 0;
     std::uint64_t term = 0;
@@ -97,6 +104,7 @@
     std::uint32_t most = 0; // slots taken in all
     std::vector<Told> told;
     std::vector<Bought> bought;
+    std::vector<Given> given;
     std::uint64_t seen_term = 0; // the latest reply taken in: its term ...
     std::uint64_t seen = 0;      // ... and its version; 0: list everything
     Demand demand;
@@ -124,11 +132,18 @@
     double gpus = 0;
     double ram_gb = 0;
 };
+struct ShareListing { // what a reply says of a share that its sender holds
+    ShareId share;
+    std::uint64_t term = 0;
+    bool accounted = false; // each of its machines is
+    bool whole = false;     // all of them are listed, not only those of `machines`
+};
 struct ExchangeReply {
     std::uint64_t term = 0;
     bool settled = false; // every machine of the part is accounted for
-    bool clean = false;   // and no slot is out that an earlier owner of the caller's part got
-    bool full = false;    // every machine is listed, not only `machines`
+    bool clean = false;   // no slot is out that an earlier owner of the caller's part got
+    bool full = false;    // every share is listed whole
+    std::optional<std::vector<ShareListing>> shares; // none: the sender knows no shares
     std::uint64_t version = 0;
     std::vector<std::string> machines;
     Demand demand;
--- a/src/core/lending.cpp
+++ b/src/core/lending.cpp
@@ -29,10 +29,10 @@
     return s;
 }
 
-Lending::Lending(Claim& claim, const Facts& facts, MachineTable& machines, WaitingOrder& order,
-                 DemandBook& demand, Calls& calls, Part& owner)
-    : claim_(claim), facts_(facts), machines_(machines), order_(order), demand_(demand),
-      calls_(calls), owner_(owner) {
+Lending::Lending(Claim& claim, const Facts& facts, const Holdings& holdings, MachineTable& machines,
+                 WaitingOrder& order, DemandBook& demand, Calls& calls, Part& owner)
+    : claim_(claim), facts_(facts), holdings_(holdings), machines_(machines), order_(order),
+      demand_(demand), calls_(calls), owner_(owner) {
     for (int p = 0; p < static_cast<int>(facts_.parts.size()); ++p) {
         if (p != claim_.part()) {
             thieves_[p];
@@ -80,6 +80,9 @@
             take_told(*m, told, in.from);
         }
     }
+    for (const auto& g : in.given) { // before the machines that it names
+        owner_.take_given(now, g);
+    }
     for (const auto& b : in.bought) { // it counts here from now on, long before it is up
         owner_.expect(now, b);
     }
@@ -107,46 +110,63 @@
 ExchangeReply Lending::listing_for(Time now, const Exchange& in) {
     ExchangeReply reply;
     reply.term = claim_.term();
-    reply.settled = owner_.accounted();
     reply.clean = true;
     reply.version = version_;
     reply.demand = demand_.standing(now).demand;
     reply.fleet = demand_.standing(now).fleet;
     reply.full = in.seen_term != claim_.term() || in.seen <= floor_;
-    if (!reply.full) {
-        for (auto change = log_.upper_bound(in.seen); change != log_.end(); ++change) {
-            reply.machines.push_back(change->second);
-            list_guests(change->second, in.from, reply);
+    reply.settled = true;
+    reply.shares.emplace();
+    std::set<ShareId> whole; // those that the caller has not taken in yet
+    for (const auto& [id, share] : holdings_.all()) {
+        if (share.state == Holdings::State::doubt) {
+            continue;
+        }
+        auto covered = covered_.find(id);
+        bool accounted = covered != covered_.end();
+        bool is_new = reply.full || (accounted && in.seen < covered->second);
+        reply.settled = reply.settled && accounted;
+        reply.shares->push_back({id, share.term, accounted, is_new});
+        if (is_new) {
+            whole.insert(id);
         }
-        return reply;
     }
-    for (const auto& [name, m] : machines_.all()) {
-        list_guests(name, in.from, reply);
-        for (const auto& [id, lot] : m.lots) {
-            reply.clean = reply.clean && (lot.thief != in.from || lot.thief_term >= in.term);
+    if (!whole.empty()) {
+        for (const auto& [name, m] : machines_.all()) {
+            if (!whole.contains(m.share)) {
+                continue;
+            }
+            list_guests(m, in.from, reply);
+            for (const auto& [id, lot] : m.lots) {
+                reply.clean = reply.clean && (lot.thief != in.from || lot.thief_term >= in.term);
+            }
+        }
+    }
+    for (auto change = log_.upper_bound(in.seen); !reply.full && change != log_.end(); ++change) {
+        auto m = machines_.all().find(change->second);
+        if (m == machines_.all().end()) {
+            reply.machines.push_back(change->second);
+        } else if (!whole.contains(m->second.share)) {
+            reply.machines.push_back(change->second);
+            list_guests(m->second, in.from, reply);
         }
     }
     return reply;
 }
 
 // The tasks of the thief's part on one machine, and the slots it may yet start some on.
-void Lending::list_guests(const std::string& name, int thief, ExchangeReply& reply) {
-    auto found = machines_.all().find(name);
-    if (found == machines_.all().end()) {
-        return;
-    }
-    const Machine& m = found->second;
+void Lending::list_guests(const Machine& m, int thief, ExchangeReply& reply) {
     ++effort_;
     for (const auto& [task, p] : m.tasks) {
         if (part_of_attempt(p.attempt) == thief) {
             ListedTask listed{task, p.attempt, p.stage, ExitWhy::none};
-            reply.held.push_back({listed, name, m.zone, p.shape_unknown, m.draining || m.trimming,
+            reply.held.push_back({listed, m.name, m.zone, p.shape_unknown, m.draining || m.trimming,
                                   m.notice_s.has_value()});
         }
     }
     for (const auto& t : m.finished) {
         if (part_of_attempt(t.attempt) == thief) {
-            reply.held.push_back({t, name, m.zone, false, false, false});
+            reply.held.push_back({t, m.name, m.zone, false, false, false});
         }
     }
     for (const auto& [id, lot] : m.lots) {
@@ -261,7 +281,7 @@
     Lot lot;
     lot.thief = thief;
     lot.thief_term = to.term;
-    lot.token = make_token(claim_.term(), m.sequence);
+    lot.token = m.token();
     lot.since = now;
     lot.shape = placement_of(shape_wanted(want));
     lot.shape.attempt = want.attempt != 0 ? want.attempt : claim_.new_attempt(thief, false);
@@ -284,12 +304,11 @@
 void Lending::fence_lots(Time now) {
     for (auto& [name, m] : machines_.all()) {
         ++effort_;
-        std::uint64_t token = make_token(claim_.term(), m.sequence);
         bool fence = std::any_of(m.lots.begin(), m.lots.end(), [&](const auto& l) {
             const Lot& lot = l.second;
             bool old = now - lot.since > kLotReports * facts_.report_s ||
                        lot.thief_term < thieves_.at(lot.thief).term;
-            return old && lot.token == token;
+            return old && lot.token == m.token();
         });
         if (fence) {
             machines_.fence(m);
--- a/src/core/lending.h
+++ b/src/core/lending.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "core/demand_book.h"
+#include "core/holdings.h"
 #include "core/waiting_order.h"
 
 namespace orchidlanding {
@@ -21,11 +22,11 @@
         virtual void serve(Time now) = 0;
         // A machine of this part was rented by the caller for all.
         virtual void expect(Time now, const Bought& bought) = 0;
-        // Every machine of the part is accounted for.
-        virtual bool accounted() const = 0;
+        // The caller has given us a share.
+        virtual void take_given(Time now, const Given& given) = 0;
     };
-    Lending(Claim& claim, const Facts& facts, MachineTable& machines, WaitingOrder& order,
-            DemandBook& demand, Calls& calls, Part& owner);
+    Lending(Claim& claim, const Facts& facts, const Holdings& holdings, MachineTable& machines,
+            WaitingOrder& order, DemandBook& demand, Calls& calls, Part& owner);
 
     // The owner of another part calls as the owner of its jobs.
     void exchange(Time now, RequestId request, const Exchange& in);
@@ -37,6 +38,12 @@
     void lend(Time now, Machine& machine, int thief, Want& want, std::uint32_t member = 0);
     // The machine's listing may have changed.
     void note(Machine& machine);
+    // All machines of the share are accounted for: from here on its listing says all there is.
+    void cover(const ShareId& share) { covered_[share] = ++version_; }
+    // The share is another part's, or about to be.
+    void uncover(const ShareId& share) { covered_.erase(share); }
+    // It goes with its share, to be listed by who holds that.
+    void forget(const Machine& machine) { log_.erase(machine.guests_version); }
     // It is about to be taken off the table. A thief may not have seen yet that its tasks there are
     // gone, so the word stays.
     void note_gone(const Machine& machine);
@@ -60,10 +67,11 @@
     void take_shape(Machine& machine, const Told& told);
     ExchangeReply listing_for(Time now, const Exchange& in);
     void enter(const std::string& machine);
-    void list_guests(const std::string& machine, int thief, ExchangeReply& reply);
+    void list_guests(const Machine& machine, int thief, ExchangeReply& reply);
 
     Claim& claim_;
     const Facts& facts_;
+    const Holdings& holdings_;
     MachineTable& machines_;
     WaitingOrder& order_;
     DemandBook& demand_;
@@ -74,6 +82,7 @@
     // only.
     std::map<std::uint64_t, std::string> log_;
     std::uint64_t version_ = 1;
+    std::map<ShareId, std::uint64_t> covered_; // and since which version
     std::uint64_t floor_ = 0; // changes up to here may have been dropped from the log
     std::uint64_t effort_ = 0;
 };
--- a/src/core/machine_table.cpp
+++ b/src/core/machine_table.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "core/authority.h"
 #include "core/parts.h"
 
 namespace orchidlanding {
@@ -126,12 +125,15 @@
 }
 
 Machine& MachineTable::add(Time now, const std::string& name, const MachineType& type,
-                           const std::string& zone, bool spot) {
+                           const std::string& zone, bool spot, const ShareId& share,
+                           std::uint64_t term) {
     Machine& m = machines_[name];
     m.name = name;
     m.type = type;
     m.zone = zone;
     m.spot = spot;
+    m.share = share;
+    m.term = term;
     m.known_since = now;
     m.idle_since = now;
     m.lease_end = now + lease_bound_s();
@@ -153,8 +155,7 @@
 
 double MachineTable::lease_bound_s() const { return lease_s_ * (1 + kDrift) + margin_s_; }
 
-ListingResult MachineTable::listing(Time now, Machine& m, const Report& report, std::uint64_t term,
-                                    CallId orders) {
+ListingResult MachineTable::listing(Time now, Machine& m, const Report& report, CallId orders) {
     ListingResult result;
     if (report.session <= m.lapsed_session) {
         return result;
@@ -183,7 +184,7 @@
         result.fresh = true;
         m.tick = report.tick;
         m.reported = true;
-        m.fenced = report.token >= make_token(term, m.sequence);
+        m.fenced = report.token >= m.token();
         m.notice_s = report.notice_s;
         m.foreign.clear();
         m.finished.clear();
@@ -325,14 +326,14 @@
     return commands;
 }
 
-std::vector<Command> MachineTable::send_directly(Machine& m, std::uint64_t token) {
+std::vector<Command> MachineTable::send_directly(Machine& m) {
     std::vector<Command> commands = std::move(m.outbox);
     m.outbox.clear();
     for (const auto& c : commands) {
         if (c.op == Op::start) {
             Placement& p = m.tasks.at(c.task);
             p.via = Placement::Via::orders;
-            p.token = token;
+            p.token = m.token();
         }
     }
     return commands;
--- a/src/core/machine_table.h
+++ b/src/core/machine_table.h
@@ -6,7 +6,9 @@
 
 #include <set>
 
+#include "core/authority.h"
 #include "core/io.h"
+#include "core/shares.h"
 
 namespace orchidlanding {
 
@@ -60,6 +62,8 @@
     MachineType type;
     std::string zone;
     bool spot = false;
+    ShareId share;
+    std::uint64_t term = 0; // of the share: tokens for the machine are made of it
 
     bool reported = false; // to this owner, in a session that has not lapsed
     bool fenced = false;   // the worker has shown this owner's newest token for it
@@ -96,6 +100,7 @@
     std::uint64_t guests_print = 0;        // of the listing of guests, to see it change
     std::uint64_t guests_version = 0;      // of that listing
 
+    std::uint64_t token() const { return make_token(term, sequence); }
     double free_cpus() const;
     double free_gpus() const;
     double free_ram() const;
@@ -135,14 +140,14 @@
     MachineTable(double lease_s, double margin_s) : lease_s_(lease_s), margin_s_(margin_s) {}
 
     Machine* find(const std::string& name);
+    // `term`: of its share.
     Machine& add(Time now, const std::string& name, const MachineType& type,
-                 const std::string& zone, bool spot);
+                 const std::string& zone, bool spot, const ShareId& share, std::uint64_t term);
     // All tasks of the machine are gone with it.
     std::vector<ListingResult::Gone> remove(const std::string& name);
 
     // A report from /v1/report, or the worker's report in the answer to the call `orders`.
-    ListingResult listing(Time now, Machine& machine, const Report& report, std::uint64_t term,
-                          CallId orders);
+    ListingResult listing(Time now, Machine& machine, const Report& report, CallId orders);
     // A listed task that an owner before us started: it is ours now.
     static void adopt(Time now, Machine& machine, const ListedTask& listed, Placement placement);
     // No answer to direct commands: they may be executed yet, unless a higher token comes first.
@@ -157,7 +162,7 @@
     void queue_start(Time now, Machine& machine, const TaskRef& task, Placement placement);
     // Takes the commands that wait, as sent in the response to the report with this tick.
     std::vector<Command> send_in_response(Machine& machine);
-    std::vector<Command> send_directly(Machine& machine, std::uint64_t token);
+    std::vector<Command> send_directly(Machine& machine);
     void sent_directly(Machine& machine, const std::vector<Command>& commands, CallId call);
     // Starts that are not out yet never go out: all of them, or those of one job.
     std::vector<ListingResult::Gone> unqueue(Machine& machine, const std::string* job = nullptr);
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -11,26 +11,21 @@
 namespace {
 // Delays of this process that a lease bound allows for, as a part of the lease: a safety bound.
 constexpr double kMargin = 1.0 / 16;
-constexpr double kProgressShare = 0.3;     // of the changes that the state service takes
 constexpr std::size_t kMostCommands = 200; // keeps a response well under the 64 KiB allowed
 
 std::uint32_t chunk_tasks(const Facts& facts) {
     // Four tasks a character of hex, with a quarter of the value left for the rest.
     return static_cast<std::uint32_t>(std::max(64.0, facts.value_kb * 1024 * 0.75 * 4));
 }
-
-std::string progress_key(const std::string& job, std::uint32_t chunk) {
-    return kProgress + job + "/" + std::to_string(chunk);
-}
 } // namespace
 
 PartOwner::PartOwner(Time now, int part, const Facts& facts, const Policy& policy,
-                     const Authority& authority, StateBudget& budget, JobIndex& index,
-                     const std::vector<MachineType>& types)
+                     const Authority& authority, PartTable& table, StateBudget& budget,
+                     JobIndex& index, const std::vector<MachineType>& types)
     : part_(part), facts_(facts), policy_(policy), index_(index), claim_(now, part, authority),
-      calls_(budget, (claim_.term() << 32) + 1), types_(types),
-      roster_("machine/" + std::to_string(part) + "/", {part_key(part), claim_.term()}, facts_,
-              calls_,
+      table_(table), holdings_(claim_, table), calls_(budget, (claim_.term() << 32) + 1),
+      types_(types),
+      roster_({part_key(part), claim_.term()}, facts_, calls_,
               [this](Time at, const CallReply& reply, const std::vector<std::string>& names) {
                   on_roster(at, reply, names);
               }),
@@ -41,11 +36,12 @@
           [this](Time at, const Job& job) { return waits(at, job); },
           [this] { return lending_.wanted(); }),
       demand_(claim_, facts_, policy_, types_, jobs_, teams_, machines_, fleet_),
-      renting_(claim_, facts_, types_, machines_, fleet_, demand_, calls_, *this),
+      renting_(claim_, facts_, holdings_, types_, machines_, fleet_, demand_, calls_, *this),
       accounts_(claim_, facts_, machines_, calls_, *this),
-      lending_(claim_, facts_, machines_, order_, demand_, calls_, *this),
-      borrowing_(claim_, facts_, policy_, jobs_, teams_, gangs_, order_, demand_, calls_, *this),
-      watched_at_(now) {
+      lending_(claim_, facts_, holdings_, machines_, order_, demand_, calls_, *this),
+      borrowing_(claim_, facts_, policy_, table_, holdings_, jobs_, teams_, gangs_, order_, demand_,
+                 calls_, *this),
+      mover_(claim_, facts_, table_, holdings_, calls_, *this), balance_(facts_), watched_at_(now) {
     load(now, kJobs, "");
 }
 
@@ -62,13 +58,19 @@
         calls_.answer(request, 503, Plain{"not entitled"}, 1);
         return;
     }
+    ShareId share = share_of_machine(facts_, report.machine, report.zone);
+    if (!holdings_.serves(share)) { // it passes on, or has
+        calls_.answer(request, 503, Plain{"share not held"}, 1);
+        return;
+    }
     Machine* m = machines_.find(report.machine);
     if (!m) {
         if (fleet_.was_released(now, report.machine)) { // a message from the dead
             calls_.answer(request, 503, Plain{"released"}, 1);
             return;
         }
-        m = &machines_.add(now, report.machine, *t, report.zone, report.spot);
+        m = &machines_.add(now, report.machine, *t, report.zone, report.spot, share,
+                           holdings_.term(share));
         m->last_report = now;
         calls_.log(Level::info, "event=machine_adopted machine=" + report.machine);
     }
@@ -87,12 +89,12 @@
     m->last_report = now;
     if (!m->on_roster && !m->roster_write) {
         m->roster_write = true;
-        roster_.write(now, m->name, {m->endpoint, m->type.name, m->zone, m->spot});
+        roster_.write(now, m->share.home, m->name, {m->endpoint, m->type.name, m->zone, m->spot});
     }
     apply(now, *m, report, 0);
     settle(now);
     place_on(now, *m);
-    ReportAnswer answer{make_token(claim_.term(), m->sequence), {}};
+    ReportAnswer answer{m->token(), {}};
     if (current) {
         upkeep(*m, answer.commands);
         if (m->fenced) {
@@ -106,15 +108,18 @@
 }
 
 void PartOwner::apply(Time now, Machine& m, const Report& report, CallId orders) {
-    ListingResult result = machines_.listing(now, m, report, claim_.term(), orders);
+    ListingResult result = machines_.listing(now, m, report, orders);
     for (const auto& g : result.gone) {
         gone(now, m.name, g);
     }
     if (m.fenced) {
-        accounts_.seen(m.name); // from here on its listings are all there is
+        accounts_.seen(m); // from here on its listings are all there is
     }
     if (result.fresh) {
         adopt_listed(now, m);
+        if (m.fenced && loaded_) { // what we had borrowed here and is not listed
+            borrowing_.gone_with(now, m.name);
+        }
     }
     note_gangs(now, m);
     if (m.notice_s || m.errors >= policy_.sick_errors) {
@@ -216,6 +221,15 @@
 
 void PartOwner::adopt_own(Time now, Machine& m, const ListedTask& t) {
     Job* job = jobs_.find(t.task.job);
+    if (borrowing_.take_home(t.task, t.attempt, m.name)) { // its machine has come to us
+        if (!job || t.stage == TaskStage::exited) {
+            m.finished.push_back(t);
+            ended_there(now, t.task, t.why, m.zone);
+        } else {
+            MachineTable::adopt(now, m, t, placement_of(job->spec));
+        }
+        return;
+    }
     if (!job || t.task.index >= job->spec.tasks) {
         m.foreign.push_back(t);
         return;
@@ -305,8 +319,8 @@
         Machine& m = *sendable;
         const std::string& name = m.name;
         ++effort_;
-        std::uint64_t token = make_token(claim_.term(), m.sequence);
-        auto commands = machines_.send_directly(m, token);
+        std::uint64_t token = m.token();
+        auto commands = machines_.send_directly(m);
         CallId call =
             calls_.send(Orders{name, m.endpoint, token, m.session, commands},
                         [this, name = name](Time at, CallReply& reply) {
@@ -333,7 +347,9 @@
 
 void PartOwner::check_leases(Time now) {
     for (auto& [name, m] : machines_.all()) {
-        if (!machines_.lapsed(now, m) || (!m.reported && m.tasks.empty())) {
+        // While a share may be another's, that one may renew the leases there.
+        if (!machines_.lapsed(now, m) || (!m.reported && m.tasks.empty()) ||
+            !holdings_.serves(m.share)) {
             continue;
         }
         calls_.log(Level::info, "event=machine_lapsed machine=" + name);
@@ -362,146 +378,6 @@
     return true;
 }
 
-// ---- Durable writes ----
-
-// Machines that have come onto the roster may be used.
-void PartOwner::on_roster(Time now, const CallReply& reply, const std::vector<std::string>& names) {
-    claim_.wrote(calls_, reply, "roster");
-    for (const auto& name : names) {
-        if (Machine* machine = machines_.find(name)) {
-            machine->on_roster = true;
-            relist(*machine);
-        }
-    }
-    if (!names.empty()) {
-        place(now);
-        send_orders(now);
-    }
-}
-
-void PartOwner::save_progress(Time now) {
-    if (saving_ || !loaded_) {
-        return;
-    }
-    // No more than the budget can ever give at once, or nothing would be saved while much changes.
-    int most = std::min(facts_.txn_ops, calls_.most_changes(StateBudget::Use::progress));
-    auto dirty = jobs_.dirty(static_cast<std::size_t>(most));
-    if (dirty.empty()) {
-        return;
-    }
-    Txn txn = claim_.guarded();
-    std::size_t room = 48 * 1024; // of the 64 KiB that a transaction may have
-    std::size_t n = 0;
-    for (; n < dirty.size(); ++n) {
-        auto bits = jobs_.chunk_bits(*jobs_.find(dirty[n].job), dirty[n].chunk);
-        std::size_t size = bits.size() / 4 + 128;
-        if (size > room) {
-            break;
-        }
-        room -= size;
-        txn.then.push_back(
-            {progress_key(dirty[n].job, dirty[n].chunk), ProgressRecord{std::move(bits)}, {}});
-    }
-    dirty.resize(n);
-    saving_ = calls_.send_state(
-        now, StateBudget::Use::progress, std::move(txn), [this, dirty](Time at, CallReply& reply) {
-            saving_ = false;
-            // All parts together leave most of the changes to new jobs, outcomes and the roster.
-            double parts = static_cast<double>(facts_.parts.size());
-            double changes = static_cast<double>(dirty.size());
-            next_save_ = at + std::max(facts_.report_s / 3,
-                                       changes * parts / (kProgressShare * facts_.state_write_rps));
-            if (claim_.wrote(calls_, reply, "progress")) {
-                for (const auto& chunk : dirty) {
-                    jobs_.saved(chunk);
-                }
-            }
-        });
-}
-
-// The job's outcome and the end of its progress keys are one write; only then is it done.
-void PartOwner::finish_job(Time now, Job& job) {
-    if (job.finishing || now < job.finish_after) {
-        return;
-    }
-    Txn txn = claim_.guarded();
-    std::string id = job.spec.id;
-    txn.when.push_back({kJobs + id, job.version});
-    txn.then.push_back({kJobs + id, JobRecord{Outcome::done, {}}, {}});
-    int most = std::min(facts_.txn_ops, calls_.most_changes(StateBudget::Use::user));
-    for (std::uint32_t c = 0; c < jobs_.chunks(job); ++c) {
-        if (job.chunk_saved[c] > 0 && static_cast<int>(txn.then.size()) < most) {
-            txn.then.push_back({progress_key(id, c), {}, {}});
-        }
-    }
-    job.finishing = calls_.send_state(now, StateBudget::Use::user, std::move(txn),
-                                      [this, id](Time at, CallReply& reply) {
-                                          Job* j = jobs_.find(id);
-                                          if (j) {
-                                              j->finishing = false;
-                                              j->finish_after = at + facts_.report_s / 6;
-                                          }
-                                          if (claim_.wrote(calls_, reply, "outcome")) {
-                                              calls_.log(Level::info, "event=job_done job=" + id);
-                                              index_.saw_final(at, id, Outcome::done);
-                                              if (j) {
-                                                  order_.done(j->spec);
-                                              }
-                                              jobs_.final(id, Outcome::done);
-                                              drop_job(id);
-                                          } else if (reply.status == 409 && !claim_.deposed()) {
-                                              reread_job(at, id);
-                                          }
-                                      });
-}
-
-// Its key has changed under us: a cancel came first, or our own write took effect unseen.
-void PartOwner::reread_job(Time now, const std::string& id) {
-    calls_.send_state(now, StateBudget::Use::user, Get{kJobs + id},
-                      [this, id](Time at, CallReply& reply) {
-                          if (reply.status != 200 || reply.items.empty()) {
-                              return;
-                          }
-                          const auto* record = std::get_if<JobRecord>(&reply.items[0].record);
-                          if (record && record->outcome == Outcome::cancelled) {
-                              cancelled(at, id);
-                          } else if (record && record->outcome == Outcome::done) {
-                              jobs_.final(id, Outcome::done);
-                              drop_job(id);
-                          }
-                      });
-}
-
-void PartOwner::cancelled(Time, const std::string& id) {
-    if (jobs_.cancel(id)) {
-        calls_.log(Level::info, "event=job_cancelled job=" + id);
-        borrowing_.stop_job(id, 0);               // on other parts' machines, by their owners
-        for (auto& [name, m] : machines_.all()) { // starts that are not out yet never go out
-            for (const auto& g : machines_.unqueue(m, &id)) {
-                teams_.free(g.placement.team, g.placement.cpus, g.placement.gpus);
-                jobs_.unplace(*jobs_.find(id), g.task.index, m.zone);
-                relist(m);
-            }
-        }
-    }
-    forget_if_over(id);
-}
-
-// The order may point to the job.
-void PartOwner::drop_job(const std::string& id) {
-    order_.clear();
-    gangs_.gone(id);
-    jobs_.drop(id);
-}
-
-void PartOwner::forget_if_over(const std::string& id) {
-    Job* job = jobs_.find(id);
-    if (job && settled_ && job->outcome == Outcome::cancelled && job->placed == 0) {
-        jobs_.final(id, Outcome::cancelled);
-        drop_job(id);
-    }
-}
-
 // ---- What the parts of this owner ask of it ----
 
 void PartOwner::ended_there(Time now, const TaskRef& task, ExitWhy why, const std::string& zone) {
@@ -533,9 +409,10 @@
 void PartOwner::released(Time now, const std::string& name) {
     Machine& m = *machines_.find(name);
     slots_.forget(name);
-    accounts_.seen(name);
+    accounts_.seen(m);
     lending_.note_gone(m);
     bool on_roster = m.on_roster || m.roster_write;
+    int home = m.share.home;
     std::string zone = m.zone;
     for (const auto& g : machines_.remove(name)) {
         if (claim_.ours(g.placement.attempt)) {
@@ -544,7 +421,7 @@
         }
     }
     if (on_roster) {
-        roster_.drop(now, name);
+        roster_.drop(now, home, name);
     }
 }
 
@@ -628,17 +505,14 @@
 
 // ---- Time ----
 
-void PartOwner::tick(Time now) {
-    if (load_again_) {
-        Range again = *std::exchange(load_again_, std::nullopt);
+void PartOwner::tick(Time now, double capacity, bool may_move) {
+    for (const auto& again : std::exchange(load_again_, {})) {
         load(now, again.prefix, again.after);
     }
-    if (!loaded_) {
-        return;
-    }
-    if (!claim_.usable(now)) {
+    if (!loaded_ || !claim_.usable(now)) {
         return;
     }
+    demand_.set_capacity(capacity);
     check_leases(now);
     lending_.fence_lots(now);
     accounts_.release_missing(now);
@@ -666,12 +540,16 @@
     if (renting_.due(now)) {
         Totals all = demand_.totals(now);
         order_.take_stock(now, all.ordinary_slots + all.spot_slots, all.demand.left_slot_s);
-        renting_.run(now, accounts_.done() && now - claim_.since() > machines_.lease_bound_s());
+        renting_.run(now, accounts_.all_done() && now - claim_.since() > machines_.lease_bound_s());
+        if (may_move) {
+            balance(now);
+        }
     }
     place(now);
     press(now);
     send_orders(now);
     borrowing_.call(now);
+    mover_.tick(now);
 }
 
 } // namespace orchidlanding
--- a/src/core/part_owner.h
+++ b/src/core/part_owner.h
@@ -7,25 +7,31 @@
 #pragma once
 
 #include "core/accounts.h"
+#include "core/balance.h"
 #include "core/borrowing.h"
 #include "core/job_index.h"
 #include "core/lending.h"
+#include "core/mover.h"
 #include "core/renting.h"
 #include "core/roster.h"
 
 namespace orchidlanding {
 
-// The time to save that a task is given, in times of what it says it needs.
-inline constexpr double kSaveTimes = 2;
-
-class PartOwner : Renting::Part, Accounts::Part, Lending::Part, Borrowing::Part {
+class PartOwner : Renting::Part, Accounts::Part, Lending::Part, Borrowing::Part, Mover::Part {
   public:
     PartOwner(Time now, int part, const Facts& facts, const Policy& policy,
-              const Authority& authority, StateBudget& budget, JobIndex& index,
+              const Authority& authority, PartTable& table, StateBudget& budget, JobIndex& index,
               const std::vector<MachineType>& types);
 
     void report(Time now, RequestId request, const Report& report);
-    void tick(Time now);
+    // `capacity`: of the node's processor. `may_move`: the state service answers.
+    void tick(Time now, double capacity, bool may_move);
+    // The node has read the map of shares.
+    void follow(Time now);
+    // Gives the share to another part, if it is this one's to give.
+    bool give(Time now, const ShareId& share, int to) { return mover_.begin(now, share, to); }
+    bool holds(const ShareId& share) const { return holdings_.find(share) != nullptr; }
+    std::vector<ShareId> shares() const;
     bool answered(Time now, CallReply& reply) { return calls_.answered(now, reply); }
     void take(Outputs& out) { calls_.take(out); }
     // Machines that have reported and not lapsed since.
@@ -36,8 +42,6 @@
     std::uint64_t effort() const { return effort_ + lending_.effort() + demand_.effort(); }
     // The owner of another part asks for slots for its tasks, as the owner of their jobs.
     void exchange(Time now, RequestId request, const Exchange& in);
-    // Who owns the other parts; empty: nobody that we know of.
-    void know_owner(int part, const std::string& node) { borrowing_.know_owner(part, node); }
     // Tasks done and running of an open job, for display.
     bool counts(const std::string& job, std::uint32_t& done, std::uint32_t& running);
     // The claim turned out to be gone (a write was refused).
@@ -51,12 +55,17 @@
     // Reading what is durable, and what is not known yet (takeover.cpp).
     void load(Time now, std::string prefix, std::string after);
     void loaded(Time now, const std::string& prefix);
+    void read_rosters(Time now);
+    void begin_work(Time now);
     void take_record(Time now, const KeyedRecord& item);
     void take_job(Time now, const KeyedRecord& item);
     void take_machine(Time now, const KeyedRecord& item);
     void watch(Time now);
     void settle(Time now) override;
+    bool all_accounted() const;
     void count_doubtful();
+    void gain(Time now, const ShareId& share);
+    void balance(Time now);
 
     // Machines and what is placed on them.
     void apply(Time now, Machine& machine, const Report& report, CallId orders) override;
@@ -122,11 +131,17 @@
     bool end_is_durable(const ListedTask& task) override;
     void ended_there(Time now, const TaskRef& task, ExitWhy why, const std::string& zone) override;
     void found_done(Time now, Job& job, std::uint32_t task) override;
+    bool settled() const override { return settled_; }
     void inventoried(Time now) override { settle(now); }
     void after_reply(Time now) override;
     void serve(Time now) override;
     void expect(Time now, const Bought& bought) override { renting_.expect(now, bought); }
-    bool accounted() const override { return accounts_.done(); }
+    void take_given(Time now, const Given& given) override;
+    void tell_given(int to, const Given& given) override;
+    bool still(const ShareId& share) const override;
+    void relist(const ShareId& share) override;
+    void list_again(const ShareId& share) override;
+    void hand_on(Time now, const ShareId& share, int to) override;
     void released(Time now, const std::string& machine) override;
     void after_release(Time now) override;
     bool owes_ends(Time now, const Machine& machine) const override;
@@ -140,6 +155,8 @@
     Policy policy_;
     JobIndex& index_; // the node's, told of each job record that this owner sees
     Claim claim_;
+    PartTable& table_; // the node's, told of moves before they are read
+    Holdings holdings_;
     Calls calls_;
     MachineTypes types_;
     Roster roster_;
@@ -155,12 +172,17 @@
     Accounts accounts_;
     Lending lending_;
     Borrowing borrowing_;
+    Mover mover_;
+    Balance balance_;
     int unanswered_ = 0;
     mutable std::uint64_t effort_ = 0;
     std::optional<Gathering> gathering_;
     std::map<std::string, Time> pressed_; // jobs that room was looked for, and when again
     std::uint64_t watch_from_ = 0;
-    std::optional<Range> load_again_;
+    std::vector<Range> load_again_;
+    // Under way, for which shares under which terms.
+    std::map<std::string, std::map<ShareId, std::uint64_t>> roster_reads_;
+    bool jobs_loaded_ = false;
     bool loaded_ = false;
     bool settled_ = false;
     bool watching_ = false;
--- a/src/core/parts.cpp
+++ b/src/core/parts.cpp
@@ -5,9 +5,7 @@
 
 namespace orchidlanding {
 
-namespace {
-// FNV-1a with a final mix: any fixed hash will do, as long as every node has the same.
-std::uint64_t hash(const std::string& text) {
+std::uint64_t hash_of(const std::string& text) {
     std::uint64_t h = 14695981039346656037ULL;
     for (unsigned char c : text) {
         h = (h ^ c) * 1099511628211ULL;
@@ -16,7 +14,6 @@
     h *= 0xff51afd7ed558ccdULL;
     return h ^ (h >> 33);
 }
-} // namespace
 
 int part_of_machine(const Facts& facts, const std::string& machine, const std::string& zone) {
     int n = static_cast<int>(facts.parts.size());
@@ -29,7 +26,7 @@
         if (near && facts.parts[p].zone != zone) {
             continue;
         }
-        std::uint64_t h = hash(machine + "/" + facts.parts[p].node);
+        std::uint64_t h = hash_of(machine + "/" + facts.parts[p].node);
         if (!any || h > best_hash) {
             any = true;
             best = p;
--- a/src/core/parts.h
+++ b/src/core/parts.h
@@ -9,6 +9,9 @@
 inline constexpr char kJobs[] = "job/";
 inline constexpr char kProgress[] = "done/";
 
+// Any fixed hash will do, as long as every node has the same: FNV-1a with a final mix.
+std::uint64_t hash_of(const std::string& text);
+
 // Rendezvous hash of the machine's name among the parts whose home node is in its zone; among
 // all parts where the zone has none.
 int part_of_machine(const Facts& facts, const std::string& machine, const std::string& zone);
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -16,9 +16,9 @@
 } // namespace
 
 bool PartOwner::may_place(const Machine& m) const {
-    return m.reported && m.fenced && m.on_roster && !m.draining && !m.trimming && !m.releasing &&
-           !m.notice_s && !m.has_foreign() && !m.has_unknown_shape() &&
-           m.errors < policy_.sick_errors;
+    return m.reported && m.fenced && m.on_roster && holdings_.gives(m.share) && !m.draining &&
+           !m.trimming && !m.releasing && !m.notice_s && !m.has_foreign() &&
+           !m.has_unknown_shape() && m.errors < policy_.sick_errors;
 }
 
 void PartOwner::relist(Machine& m) {
--- a/src/core/renting.cpp
+++ b/src/core/renting.cpp
@@ -8,11 +8,11 @@
 constexpr std::size_t kMostReleased = 100; // in one request, the cloud's own limit
 } // namespace
 
-Renting::Renting(const Claim& claim, const Facts& facts, const MachineTypes& types,
-                 MachineTable& machines, Fleet& fleet, DemandBook& demand, Calls& calls,
-                 Part& owner)
-    : claim_(claim), facts_(facts), types_(types), machines_(machines), fleet_(fleet),
-      demand_(demand), calls_(calls), owner_(owner) {}
+Renting::Renting(const Claim& claim, const Facts& facts, const Holdings& holdings,
+                 const MachineTypes& types, MachineTable& machines, Fleet& fleet,
+                 DemandBook& demand, Calls& calls, Part& owner)
+    : claim_(claim), facts_(facts), holdings_(holdings), types_(types), machines_(machines),
+      fleet_(fleet), demand_(demand), calls_(calls), owner_(owner) {}
 
 void Renting::run(Time now, bool may_suspect) {
     next_ = now + facts_.report_s / 3;
@@ -28,8 +28,10 @@
         owner_.relist(m);
     }
     auto surplus = fleet_.surplus(now, machines_, sum, may_suspect);
-    std::erase_if(surplus,
-                  [&](const auto& name) { return owner_.owes_ends(now, *machines_.find(name)); });
+    std::erase_if(surplus, [&](const auto& name) {
+        const Machine& m = *machines_.find(name);
+        return !holdings_.gives(m.share) || owner_.owes_ends(now, m);
+    });
     if (!surplus.empty() && now >= next_release_) {
         release(now, surplus);
     }
@@ -55,8 +57,9 @@
                 if (!t || machines_.find(name) || fleet_.was_released(at, name)) {
                     continue;
                 }
-                if (part_of_machine(facts_, name, rent.zone) == claim_.part()) {
-                    machines_.add(at, name, *t, rent.zone, rent.spot);
+                ShareId share = share_of_machine(facts_, name, rent.zone);
+                if (const Holdings::Share* own = holdings_.find(share)) {
+                    machines_.add(at, name, *t, rent.zone, rent.spot, share, own->term);
                     demand_.stale();
                 } else {
                     demand_.buy(at, name, rent);
@@ -68,9 +71,10 @@
 
 void Renting::expect(Time now, const Bought& b) {
     const MachineType* t = types_.find(b.type);
-    if (t && part_of_machine(facts_, b.machine, b.zone) == claim_.part() &&
-        !machines_.find(b.machine) && !fleet_.was_released(now, b.machine)) {
-        machines_.add(now, b.machine, *t, b.zone, b.spot);
+    ShareId share = share_of_machine(facts_, b.machine, b.zone);
+    const Holdings::Share* own = holdings_.find(share);
+    if (t && own && !machines_.find(b.machine) && !fleet_.was_released(now, b.machine)) {
+        machines_.add(now, b.machine, *t, b.zone, b.spot, share, own->term);
         demand_.stale();
     }
 }
@@ -128,16 +132,22 @@
 }
 
 void Renting::saw_host(Time now, const Host& host) {
-    if (part_of_machine(facts_, host.name, host.zone) != claim_.part()) {
+    ShareId share = share_of_machine(facts_, host.name, host.zone);
+    const Holdings::Share* own = holdings_.find(share);
+    if (!own) {
         return;
     }
     Machine* m = machines_.find(host.name);
     if (!m) {
         const MachineType* t = types_.find(host.type);
-        if (!t || fleet_.was_released(now, host.name)) {
+        // The list lags: what the holder before us released shows in it for a while. One that is up
+        // reports.
+        bool moved = own->since > claim_.since() && host.stage == HostStage::running &&
+                     now - own->since < 2 * facts_.list_lag_s;
+        if (!t || moved || fleet_.was_released(now, host.name)) {
             return;
         }
-        m = &machines_.add(now, host.name, *t, host.zone, host.spot);
+        m = &machines_.add(now, host.name, *t, host.zone, host.spot, share, own->term);
         m->age_at_known_s = host.age_s;
         m->endpoint = host.endpoint;
         // It may be up, and carry tasks, but if so it is on the roster as well.
--- a/src/core/renting.h
+++ b/src/core/renting.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/demand_book.h"
+#include "core/holdings.h"
 
 namespace orchidlanding {
 
@@ -19,8 +20,9 @@
         // Have the owners of all other parts said what they have?
         virtual bool all_heard() const = 0;
     };
-    Renting(const Claim& claim, const Facts& facts, const MachineTypes& types,
-            MachineTable& machines, Fleet& fleet, DemandBook& demand, Calls& calls, Part& owner);
+    Renting(const Claim& claim, const Facts& facts, const Holdings& holdings,
+            const MachineTypes& types, MachineTable& machines, Fleet& fleet, DemandBook& demand,
+            Calls& calls, Part& owner);
 
     bool buys() const { return claim_.part() == kBuyer; }
     // Listings and, a few times in a report time, what to rent and what to give back.
@@ -40,6 +42,7 @@
 
     const Claim& claim_;
     const Facts& facts_;
+    const Holdings& holdings_;
     const MachineTypes& types_;
     MachineTable& machines_;
     Fleet& fleet_;
--- a/src/core/roster.cpp
+++ b/src/core/roster.cpp
@@ -5,22 +5,21 @@
 
 namespace orchidlanding {
 
-Roster::Roster(std::string prefix, Condition guard, const Facts& facts, Calls& calls,
-               Answered answered)
-    : prefix_(std::move(prefix)), guard_(std::move(guard)), report_s_(facts.report_s),
+Roster::Roster(Condition guard, const Facts& facts, Calls& calls, Answered answered)
+    : guard_(std::move(guard)), report_s_(facts.report_s),
       most_(static_cast<std::size_t>(
           std::clamp(calls.most_changes(StateBudget::Use::user), 1, std::max(1, facts.txn_ops)))),
       calls_(calls), answered_(std::move(answered)) {}
 
-void Roster::write(Time now, const std::string& machine, MachineRecord record) {
+void Roster::write(Time now, int home, const std::string& machine, MachineRecord record) {
     drops_.erase(machine);
-    writes_[machine] = std::move(record);
+    writes_[machine] = {home, std::move(record)};
     flush(now);
 }
 
-void Roster::drop(Time now, const std::string& machine) {
+void Roster::drop(Time now, int home, const std::string& machine) {
     writes_.erase(machine);
-    drops_.insert(machine);
+    drops_[machine] = home;
     flush(now);
 }
 
@@ -39,14 +38,14 @@
 
 bool Roster::send(Time now, std::size_t most) {
     Txn txn{{guard_}, {}};
-    std::map<std::string, MachineRecord> written;
-    std::set<std::string> dropped;
+    std::map<std::string, Entry> written;
+    std::map<std::string, int> dropped;
     for (auto it = writes_.begin(); it != writes_.end() && txn.then.size() < most; ++it) {
-        txn.then.push_back({prefix_ + it->first, it->second, {}});
+        txn.then.push_back({prefix(it->second.home) + it->first, it->second.record, {}});
         written.insert(*it);
     }
     for (auto it = drops_.begin(); it != drops_.end() && txn.then.size() < most; ++it) {
-        txn.then.push_back({prefix_ + *it, {}, {}});
+        txn.then.push_back({prefix(it->second) + it->first, {}, {}});
         dropped.insert(*it);
     }
     in_flight_ = calls_.send_state(now, StateBudget::Use::user, std::move(txn),
@@ -56,14 +55,14 @@
                                        bool ok = reply.status == 200;
                                        // What failed may take effect yet: written again it does no
                                        // harm, nor dropped again.
-                                       for (const auto& [machine, record] : written) {
+                                       for (const auto& [machine, entry] : written) {
                                            if (drops_.contains(machine)) {
                                                continue; // it has gone meanwhile
                                            }
                                            if (ok) {
                                                stand.push_back(machine);
                                            } else {
-                                               writes_.emplace(machine, record);
+                                               writes_.emplace(machine, entry);
                                            }
                                        }
                                        if (!ok) {
@@ -74,10 +73,10 @@
                                        flush(at);
                                    });
     if (in_flight_) {
-        for (const auto& [machine, record] : written) {
+        for (const auto& [machine, entry] : written) {
             writes_.erase(machine);
         }
-        for (const auto& machine : dropped) {
+        for (const auto& [machine, home] : dropped) {
             drops_.erase(machine);
         }
     }
--- a/src/core/roster.h
+++ b/src/core/roster.h
@@ -16,12 +16,15 @@
     // `guard`: the condition that the part is still this owner's. `answered` is told of each answer
     // and, if it was 200, of the machines that stand on the roster now.
     using Answered = std::function<void(Time, const CallReply&, const std::vector<std::string>&)>;
-    Roster(std::string prefix, Condition guard, const Facts& facts, Calls& calls,
-           Answered answered);
-
-    const std::string& prefix() const { return prefix_; }
-    void write(Time now, const std::string& machine, MachineRecord record);
-    void drop(Time now, const std::string& machine);
+    Roster(Condition guard, const Facts& facts, Calls& calls, Answered answered);
+
+    static constexpr char kPrefix[] = "machine/";
+    // Entries stand under the home of the machine's share, whoever holds it.
+    static std::string prefix(int home) { return kPrefix + std::to_string(home) + "/"; }
+    void write(Time now, int home, const std::string& machine, MachineRecord record);
+    void drop(Time now, int home, const std::string& machine);
+    // It is another's to write.
+    void forget(const std::string& machine) { writes_.erase(machine); }
     // Sends what is due if nothing is under way; to be called on the timer as well.
     void flush(Time now);
 
@@ -29,14 +32,17 @@
     // One transaction of at most so many changes; false: the budget does not let it go.
     bool send(Time now, std::size_t most);
 
-    std::string prefix_;
+    struct Entry {
+        int home = 0;
+        MachineRecord record;
+    };
     Condition guard_;
     double report_s_;
     std::size_t most_; // changes in a transaction
     Calls& calls_;
     Answered answered_;
-    std::map<std::string, MachineRecord> writes_; // not sent yet, or sent in vain
-    std::set<std::string> drops_;
+    std::map<std::string, Entry> writes_; // not sent yet, or sent in vain
+    std::map<std::string, int> drops_;    // with the home
     bool in_flight_ = false;
     Time next_ = 0;
 };
--- a/src/core/takeover.cpp
+++ b/src/core/takeover.cpp
@@ -13,7 +13,7 @@
         now, StateBudget::Use::user, Range{prefix, after},
         [this, prefix, after](Time at, CallReply& reply) {
             if (reply.status != 200) {
-                load_again_ = Range{prefix, after}; // at the next tick
+                load_again_.push_back({prefix, after}); // at the next tick
                 return;
             }
             if (prefix == kJobs && after.empty()) {
@@ -29,7 +29,7 @@
             }
         });
     if (!sent) {
-        load_again_ = Range{prefix, after};
+        load_again_.push_back({prefix, after});
     }
 }
 
@@ -40,28 +40,64 @@
         }
         load(now, kProgress, "");
     } else if (prefix == kProgress) {
-        load(now, roster_.prefix(), "");
+        jobs_loaded_ = true;
+        read_rosters(now);
     } else {
-        loaded_ = true;
-        calls_.log(Level::info, "event=part_loaded part=" + std::to_string(part_) +
-                                    " term=" + std::to_string(claim_.term()) +
-                                    " jobs=" + std::to_string(jobs_.all().size()) +
-                                    " machines=" + std::to_string(machines_.all().size()));
-        // Machines that reported while we were reading listed tasks of jobs not known then.
-        for (auto& [name, m] : machines_.all()) {
-            adopt_listed(now, m);
-            relist(m);
+        auto read = roster_reads_.extract(prefix);
+        for (const auto& [share, term] : read.mapped()) {
+            const Holdings::Share* own = holdings_.find(share);
+            if (own && own->term == term) {
+                accounts_.read(share);
+            }
         }
-        count_doubtful();
-        accounts_.ask(now);
+        begin_work(now);
         settle(now);
+        read_rosters(now); // of shares that came meanwhile
     }
 }
 
+// The rosters of the homes of all shares that are ours and not read yet.
+void PartOwner::read_rosters(Time now) {
+    if (!jobs_loaded_ || !holdings_.known()) {
+        return;
+    }
+    std::map<std::string, std::map<ShareId, std::uint64_t>> reads;
+    for (const auto& [id, share] : holdings_.all()) {
+        if (!accounts_.is_read(id)) {
+            reads[Roster::prefix(id.home)][id] = share.term;
+        }
+    }
+    for (auto& [prefix, shares] : reads) {
+        if (roster_reads_.emplace(prefix, std::move(shares)).second) {
+            load(now, prefix, "");
+        }
+    }
+    begin_work(now); // it may hold none at all
+}
+
+void PartOwner::begin_work(Time now) {
+    if (loaded_ || !roster_reads_.empty()) {
+        return;
+    }
+    loaded_ = true;
+    calls_.log(Level::info, "event=part_loaded part=" + std::to_string(part_) +
+                                " term=" + std::to_string(claim_.term()) +
+                                " jobs=" + std::to_string(jobs_.all().size()) +
+                                " shares=" + std::to_string(holdings_.all().size()) +
+                                " machines=" + std::to_string(machines_.all().size()));
+    // Machines that reported while we were reading listed tasks of jobs not known then.
+    for (auto& [name, m] : machines_.all()) {
+        adopt_listed(now, m);
+        relist(m);
+    }
+    count_doubtful();
+    settle(now);
+}
+
 void PartOwner::take_record(Time now, const KeyedRecord& item) {
     if (item.key.starts_with(kJobs)) {
         take_job(now, item);
-    } else if (item.key.starts_with(roster_.prefix())) {
+    } else if (item.key.starts_with(Roster::kPrefix)) {
         take_machine(now, item);
     } else if (item.key.starts_with(kProgress)) {
         std::string rest = item.key.substr(sizeof(kProgress) - 1);
@@ -116,25 +152,32 @@
 
 void PartOwner::take_machine(Time now, const KeyedRecord& item) {
     const auto* record = std::get_if<MachineRecord>(&item.record);
-    std::string name = item.key.substr(roster_.prefix().size());
+    std::string rest = item.key.substr(sizeof(Roster::kPrefix) - 1);
+    std::string name = rest.substr(rest.find('/') + 1);
+    ShareId share = share_at(facts_, std::atoi(rest.c_str()), name);
+    const Holdings::Share* own = holdings_.find(share);
+    if (!own || accounts_.is_read(share)) {
+        return; // another's, or known since it was read
+    }
     const MachineType* t = record ? types_.find(record->type) : nullptr;
     if (Machine* m = machines_.find(name)) { // it has reported while we were reading
         m->on_roster = true;
         if (!m->fenced) {
-            accounts_.expect(name);
+            accounts_.expect(*m);
         }
+        relist(*m);
         return;
     }
     if (!t) {
         calls_.log(Level::error, "event=unreadable_record key=" + item.key);
-        accounts_.expect(name); // fenced off: its lease bound is waited out
+        accounts_.expect(share, name); // fenced off: its lease bound is waited out
         return;
     }
-    Machine& m = machines_.add(now, name, *t, record->zone, record->spot);
+    Machine& m = machines_.add(now, name, *t, record->zone, record->spot, share, own->term);
     m.endpoint = record->endpoint;
     m.on_roster = true;
     m.last_report = now;
-    accounts_.expect(name);
+    accounts_.expect(m);
 }
 
 void PartOwner::watch(Time now) {
@@ -167,13 +210,20 @@
 
 // No task of a job older than this owner is placed until every machine that may carry a task of an
 // owner before us is accounted for: fenced and listed by its own report, gone by a release, or
-// lapsed by the clock; and until the owner of every other part has accounted in the same way for
+// lapsed by the clock; and until the holder of every other share has accounted in the same way for
 // the tasks of ours there.
 void PartOwner::settle(Time now) {
-    if (settled_ || !loaded_) {
+    if (!loaded_) {
         return;
     }
-    if (accounts_.look(now) && borrowing_.all_inventoried()) {
+    for (const auto& share : accounts_.look(now)) {
+        lending_.cover(share);
+        borrowing_.gone_with(now, share);
+    }
+    if (settled_) {
+        return;
+    }
+    if (all_accounted()) {
         settled_ = true;
         count_doubtful();
         calls_.log(Level::info, "event=part_settled part=" + std::to_string(part_) +
@@ -197,6 +247,13 @@
     }
 }
 
+bool PartOwner::all_accounted() const {
+    auto shares = all_shares(facts_);
+    return std::all_of(shares.begin(), shares.end(), [&](const ShareId& share) {
+        return accounts_.done(share) || borrowing_.inventoried(share);
+    });
+}
+
 // The tasks of older jobs that no listing has shown yet may run all the same.
 void PartOwner::count_doubtful() {
     std::map<std::string, std::pair<double, double>> doubtful;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -129,8 +129,12 @@
 struct ProgressRecord { // done/<id>/<chunk>
     std::vector<bool> done;
 };
-struct PartRecord { // part/<p>
+struct PartRecord { // part/<p>, and part/<p>/home
     std::string node;
+    bool knows_shares = false; // the owner follows the map of shares
+};
+struct ShareRecord { // part/<home>/shares: see shares.h
+    std::vector<int> holders;
 };
 struct MachineRecord { // machine/<part>/<name>
     std::string endpoint;
@@ -142,8 +146,8 @@
     std::vector<MachineType> types;
 };
 struct Unreadable {};
-using Record =
-    std::variant<Unreadable, JobRecord, ProgressRecord, PartRecord, MachineRecord, CatalogRecord>;
+using Record = std::variant<Unreadable, JobRecord, ProgressRecord, PartRecord, ShareRecord,
+                            MachineRecord, CatalogRecord>;
 
 struct KeyedRecord {
     std::string key;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -241,10 +241,11 @@
                 auto handle = unpack(body);
                 if (std::holds_alternative<Orders>(call)) {
                     r.report = report_of(Fields(handle.get()));
-                } else if (const auto* failed = Fields(handle.get()).get("failed")) {
+                } else if (Fields f(handle.get()); const auto* failed = f.get("failed")) {
                     for (const auto* k : Fields::list_of(*failed, "failed")) {
                         r.failed.push_back(Fields::text_of(*k, "failed"));
                     }
+                    r.revision = f.get("ring") ? f.integer("ring") : 0;
                 }
             }
             return r;
--- a/src/wire/exchange.cpp
+++ b/src/wire/exchange.cpp
@@ -1,4 +1,5 @@
 // Between controllers: names are our own.
+#include "core/parts.h"
 #include "wire/fields.h"
 
 namespace orchidlanding::wire {
@@ -19,8 +20,9 @@
     }
     field(p, "ordinary", fleet.ordinary);
     field(p, "spot", fleet.spot);
+    field(p, "capacity", fleet.capacity);
 }
-constexpr std::uint32_t kStandingFields = 6;
+constexpr std::uint32_t kStandingFields = 7;
 
 Demand demand_of(const Fields& f) {
     Demand d{f.amount("ordinary_slots"), f.amount("any_slots"), f.amount("left_slot_s"), {}};
@@ -31,7 +33,42 @@
     return d;
 }
 
-FleetView fleet_of(const Fields& f) { return {f.amount("ordinary"), f.amount("spot")}; }
+// A node of the version before says nothing of its processor.
+FleetView fleet_of(const Fields& f) {
+    double capacity = f.maybe_amount("capacity").value_or(1);
+    return {f.amount("ordinary"), f.amount("spot"), std::clamp(capacity, 0.01, 1.0)};
+}
+
+// There are many of them in each reply: home, number, term, and what of it is listed.
+void pack_listings(Packer& p, const std::vector<ShareListing>& listings) {
+    p.pack_array(static_cast<std::uint32_t>(listings.size()));
+    for (const auto& l : listings) {
+        p.pack_array(4);
+        p.pack(l.share.home);
+        p.pack(l.share.number);
+        p.pack(l.term);
+        p.pack((l.accounted ? 1 : 0) + (l.whole ? 2 : 0));
+    }
+}
+
+ShareListing listing_of(const msgpack::object& item) {
+    auto parts = Fields::list_of(item, "shares");
+    if (parts.size() != 4) {
+        throw BadMessage("shares: not four numbers");
+    }
+    auto number = [&](std::size_t i, std::uint64_t most) {
+        std::uint64_t n = Fields::integer_of(*parts[i], "shares");
+        if (n > most) {
+            throw BadMessage("shares: out of range");
+        }
+        return n;
+    };
+    std::uint64_t state = number(3, 3);
+    return {{static_cast<int>(number(0, kMostParts)), static_cast<int>(number(1, kMostTasks))},
+            number(2, UINT64_MAX),
+            (state & 1) != 0,
+            (state & 2) != 0};
+}
 
 std::vector<std::string> names_of(const Fields& f, const char* name) {
     std::vector<std::string> out;
@@ -113,6 +150,15 @@
         Fields b(*item);
         e.bought.push_back({b.text("machine"), b.text("type"), b.text("zone"), b.flag("spot")});
     }
+    if (f.get("given")) { // a node of the version before gives nothing away
+        for (const auto* item : f.list("given")) {
+            Fields g(*item);
+            e.given.push_back({{static_cast<int>(g.integer("home") % kMostParts),
+                                static_cast<int>(g.integer("number") % kMostTasks)},
+                               g.integer("revision"),
+                               g.integer("term")});
+        }
+    }
     e.seen_term = f.integer("seen_term");
     e.seen = f.integer("seen");
     e.demand = demand_of(f);
@@ -122,7 +168,16 @@
 } // namespace
 
 void pack_exchange(Packer& p, const Exchange& e) {
-    p.pack_map(9 + kStandingFields);
+    p.pack_map(10 + kStandingFields);
+    key(p, "given");
+    p.pack_array(static_cast<std::uint32_t>(e.given.size()));
+    for (const auto& g : e.given) {
+        p.pack_map(4);
+        field(p, "home", g.share.home);
+        field(p, "number", g.share.number);
+        field(p, "revision", g.revision);
+        field(p, "term", g.term);
+    }
     field(p, "from", e.from);
     field(p, "most", e.most);
     field(p, "seen_term", e.seen_term);
@@ -188,7 +243,11 @@
 }
 
 void pack_exchange_reply(Packer& p, const ExchangeReply& r) {
-    p.pack_map(9 + kStandingFields);
+    p.pack_map(9 + (r.shares ? 1 : 0) + kStandingFields);
+    if (r.shares) {
+        key(p, "shares");
+        pack_listings(p, *r.shares);
+    }
     field(p, "term", r.term);
     field(p, "settled", r.settled);
     field(p, "clean", r.clean);
@@ -242,6 +301,12 @@
     r.clean = f.flag("clean");
     r.full = f.flag("full");
     r.version = f.integer("version");
+    if (f.get("shares")) {
+        r.shares.emplace();
+        for (const auto* item : f.list("shares")) {
+            r.shares->push_back(listing_of(*item));
+        }
+    }
     r.machines = names_of(f, "machines");
     r.demand = demand_of(f);
     r.fleet = fleet_of(f);
--- a/src/wire/records.cpp
+++ b/src/wire/records.cpp
@@ -1,4 +1,5 @@
 // What the state service keeps, by kind of key, and the cloud's catalog.
+#include "core/parts.h"
 #include "wire/fields.h"
 
 namespace orchidlanding::wire {
@@ -36,6 +37,20 @@
     return bits;
 }
 
+constexpr std::uint64_t kShareFormat = 1;
+
+ShareRecord shares_of(const Fields& f) {
+    if (f.integer("format") != kShareFormat) {
+        throw BadMessage("shares: unknown format");
+    }
+    ShareRecord r;
+    for (const auto* holder : f.list("holders")) {
+        r.holders.push_back(static_cast<int>(
+            std::min<std::uint64_t>(Fields::integer_of(*holder, "holders"), kMostParts)));
+    }
+    return r;
+}
+
 MachineType type_of(const Fields& f) {
     MachineType t;
     t.name = f.text("sku");
@@ -96,8 +111,13 @@
         p.pack_map(1);
         field(p, "bits", hex_of(progress->done));
     } else if (const auto* part = std::get_if<PartRecord>(&record)) {
-        p.pack_map(1);
+        p.pack_map(2);
         field(p, "node", part->node);
+        field(p, "knows_shares", part->knows_shares);
+    } else if (const auto* shares = std::get_if<ShareRecord>(&record)) {
+        p.pack_map(2);
+        field(p, "format", kShareFormat);
+        field(p, "holders", shares->holders);
     } else if (const auto* machine = std::get_if<MachineRecord>(&record)) {
         p.pack_map(4);
         field(p, "endpoint", machine->endpoint);
@@ -129,7 +149,11 @@
             return ProgressRecord{bits_of(f.text("bits"))};
         }
         if (key.starts_with("part/")) {
-            return PartRecord{f.text("node")};
+            if (key.ends_with("/shares")) {
+                return shares_of(f);
+            }
+            // A node of the version before does not say that it knows shares.
+            return PartRecord{f.text("node"), f.get("knows_shares") && f.flag("knows_shares")};
         }
         if (key == "catalog") {
             return CatalogRecord{types_of(f)};
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -253,7 +253,8 @@
 // A machine of a lease of 17 s that has just reported for the first time, with that report.
 struct OneMachine {
     MachineTable table{17, 1};
-    Machine& m = table.add(0, "i-1", {"m8", 8, 0, 32, 20, 1, 1, 1, 10, {"a"}}, "a", false);
+    Machine& m =
+        table.add(0, "i-1", {"m8", 8, 0, 32, 20, 1, 1, 1, 10, {"a"}}, "a", false, {}, kTerm);
     Report r;
 
     OneMachine() {
@@ -261,7 +262,7 @@
         r.session = 1;
         r.tick = 1;
         r.token = make_token(kTerm, 0);
-        table.listing(0, m, r, kTerm, 0);
+        table.listing(0, m, r, 0);
     }
 };
 
@@ -273,19 +274,19 @@
     Placement p;
     p.attempt = 1;
     table.queue_start(0, m, task, p);
-    table.sent_directly(m, table.send_directly(m, r.token), 5);
+    table.sent_directly(m, table.send_directly(m), 5);
     table.fence(m); // no answer came
     r.tick = 2;     // a report under the token that the start carries proves nothing
-    EXPECT_TRUE(table.listing(1, m, r, kTerm, 0).gone.empty());
+    EXPECT_TRUE(table.listing(1, m, r, 0).gone.empty());
     EXPECT_FALSE(m.fenced);
     r.tick = 3;
     r.token = make_token(kTerm, 1);
-    EXPECT_EQ(table.listing(2, m, r, kTerm, 0).gone.size(), 1u);
+    EXPECT_EQ(table.listing(2, m, r, 0).gone.size(), 1u);
     EXPECT_TRUE(m.fenced);
     // A token of an earlier term is never ours, however high its sequence.
     r.tick = 4;
     r.token = make_token(kTerm - 1, 1000);
-    table.listing(3, m, r, kTerm, 0);
+    table.listing(3, m, r, 0);
     EXPECT_FALSE(m.fenced);
 }
 
@@ -297,7 +298,7 @@
     table.renewed(0, m);
     r.session = 2;
     r.tick = 2;
-    table.listing(16, m, r, kTerm, 5);
+    table.listing(16, m, r, 5);
     EXPECT_FALSE(table.lapsed(20, m));
     EXPECT_FALSE(table.lapsed(16 + 17, m));
     EXPECT_TRUE(table.lapsed(16 + 20, m));
@@ -589,7 +590,7 @@
     }
     w.run_for(45);
     World::Counts before = w.counts();
-    w.run_for(15);
+    w.run_for(20); // as long as a task
     World::Counts after = w.counts();
     EXPECT_TRUE(w.broken.empty()) << w.broken.front();
     *machines = w.machines_up().size();
--- a/tests/roster_test.cpp
+++ b/tests/roster_test.cpp
@@ -10,8 +10,7 @@
     StateBudget budget{1000, 1000, 1};
     Calls calls{budget, 1};
     std::vector<std::string> stand;
-    Roster roster{"machine/0/",
-                  {"part/0", 7},
+    Roster roster{{"part/0", 7},
                   facts(),
                   calls,
                   [this](Time, const CallReply&, const std::vector<std::string>& names) {
@@ -42,7 +41,7 @@
 TEST(Roster, MachinesThatComeTogetherShareTransactions) {
     Desk d;
     for (int n = 0; n < 30; ++n) {
-        d.roster.write(0, name(n), {"10.0.0.1:1", "m8", "a", true});
+        d.roster.write(0, 0, name(n), {"10.0.0.1:1", "m8", "a", true});
     }
     std::size_t requests = 0;
     std::size_t changes = 0;
@@ -68,7 +67,7 @@
     while (d.budget.take(0, StateBudget::Use::user, 3)) { // a change or two more is all there is
     }
     for (int n = 0; n < 12; ++n) {
-        d.roster.write(0, name(n), {});
+        d.roster.write(0, 0, name(n), {});
     }
     std::size_t changes = 0;
     for (Time t = 0.001; t < 1; t += 0.001) { // others take what comes in, but for one change
@@ -86,8 +85,8 @@
 
 TEST(Roster, WhatFailedOrHadNoAnswerIsSentAgain) {
     Desk d;
-    d.roster.write(0, name(1), {});
-    d.roster.drop(0, name(2));
+    d.roster.write(0, 0, name(1), {});
+    d.roster.drop(0, 0, name(2));
     d.reply(0.1, d.sent().at(0), 0);
     EXPECT_TRUE(d.stand.empty());
     d.roster.flush(0.2);
@@ -104,9 +103,9 @@
 
 TEST(Roster, AMachineThatGoesWhileItsEntryIsUnderWayIsDroppedAfterIt) {
     Desk d;
-    d.roster.write(0, name(1), {});
+    d.roster.write(0, 0, name(1), {});
     auto first = d.sent();
-    d.roster.drop(0.01, name(1));
+    d.roster.drop(0.01, 0, name(1));
     EXPECT_TRUE(d.sent().empty());
     d.reply(0.02, first.at(0), 200);
     EXPECT_TRUE(d.stand.empty()); // nothing may be started there
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -110,7 +110,8 @@
     for (const auto& [key, record] : std::vector<std::pair<std::string, Record>>{
              {"job/req-000412", JobRecord{Outcome::cancelled, spec}},
              {"done/req-000412/0", ProgressRecord{bits}},
-             {"part/0", PartRecord{"n1"}},
+             {"part/0", PartRecord{"n1", true}},
+             {"part/1/shares", ShareRecord{{1, 0, 4}}},
              {"machine/0/i-1", MachineRecord{"10.0.0.9:9000", "g8", "a", true}}}) {
         auto http = wire::encode_call(Txn{{}, {{key, record, {}}}});
         auto handle = msgpack::unpack(http.body.data(), http.body.size());
@@ -129,6 +130,12 @@
                 EXPECT_EQ(p->done[i], bits[i]);
             }
         }
+        if (const auto* p = std::get_if<PartRecord>(&reply.items[0].record)) {
+            EXPECT_TRUE(p->node == "n1" && p->knows_shares);
+        }
+        if (const auto* h = std::get_if<ShareRecord>(&reply.items[0].record)) {
+            EXPECT_EQ(h->holders, (std::vector<int>{1, 0, 4}));
+        }
         if (const auto* j = std::get_if<JobRecord>(&reply.items[0].record)) {
             EXPECT_EQ(j->outcome, Outcome::cancelled);
             EXPECT_EQ(j->spec->image, "img-07");
@@ -191,6 +198,85 @@
     EXPECT_THROW(wire::parse_promise_ask("\x80"), wire::BadMessage);
 }
 
+// What the version before says of shares is nothing, and what it does not know it ignores.
+TEST(Wire, SharesComeThroughAndMayBeMissing) {
+    Exchange e = asks_for_a_gang();
+    e.given = {{{3, 7}, 1000000007, 55}};
+    e.fleet = {320, 64, 0.25};
+    Exchange got = wire::parse_exchange(wire::encode_call(PeerCall{"n1", e}).body);
+    ASSERT_EQ(got.given.size(), 1u);
+    EXPECT_EQ(got.given[0].share, (ShareId{3, 7}));
+    EXPECT_EQ(got.given[0].revision, 1000000007u);
+    EXPECT_EQ(got.given[0].term, 55u);
+    EXPECT_EQ(got.fleet.capacity, 0.25);
+    ExchangeReply r;
+    for (bool knows : {false, true}) {
+        if (knows) {
+            r.shares = {{{{0, 1}, 99, true, false}, {{4, 19}, 1ULL << 40, false, true}}};
+        }
+        std::string body = wire::encode_answer(r);
+        CallReply reply = wire::decode_reply(1, PeerCall{}, 200, body);
+        ASSERT_TRUE(reply.exchange);
+        ASSERT_EQ(reply.exchange->shares.has_value(), knows);
+        if (knows) {
+            const auto& shares = *reply.exchange->shares;
+            ASSERT_EQ(shares.size(), 2u);
+            EXPECT_EQ(shares[0].share, (ShareId{0, 1}));
+            EXPECT_TRUE(shares[0].accounted && !shares[0].whole);
+            EXPECT_EQ(shares[1].term, 1ULL << 40);
+            EXPECT_TRUE(!shares[1].accounted && shares[1].whole);
+        }
+    }
+}
+
+TEST(Wire, AMapOfAnUnknownFormatIsUnreadable) {
+    auto read = [](const std::string& data) {
+        return wire::decode_reply(1, Get{"part/1/shares"}, 200,
+                                  "\x82\xa4"
+                                  "data" +
+                                      data +
+                                      "\xa5"
+                                      "graft\x07");
+    };
+    std::string holders = "\xa7"
+                          "holders\x92\x01";
+    CallReply good = read("\x82\xa6"
+                          "format\x01" +
+                          holders + "\x03");
+    ASSERT_EQ(good.items.size(), 1u);
+    EXPECT_EQ(std::get<ShareRecord>(good.items[0].record).holders, (std::vector<int>{1, 3}));
+    for (const auto& bad : {"\x82\xa6"
+                            "format\x02" +
+                                holders + "\x03",
+                            "\x82\xa6"
+                            "format\x01" +
+                                holders + "\xc3",
+                            std::string("\x81\xa6"
+                                        "format\x01")}) {
+        CallReply r = read(bad);
+        ASSERT_EQ(r.items.size(), 1u);
+        EXPECT_TRUE(std::holds_alternative<Unreadable>(r.items[0].record));
+    }
+    // A part whose owner is of the version before.
+    CallReply part = wire::decode_reply(1, Get{"part/1"}, 200,
+                                        "\x82\xa4"
+                                        "data\x81\xa4"
+                                        "node\xa2"
+                                        "n1\xa5"
+                                        "graft\x07");
+    EXPECT_FALSE(std::get<PartRecord>(part.items.at(0).record).knows_shares);
+}
+
+TEST(Wire, ARefusedTransactionSaysAtWhichRevision) {
+    CallReply reply = wire::decode_reply(1, Txn{}, 409,
+                                         "\x82\xa6"
+                                         "failed\x91\xa3"
+                                         "a/b\xa4"
+                                         "ring\xcd\x01\xaf");
+    EXPECT_EQ(reply.failed, (std::vector<std::string>{"a/b"}));
+    EXPECT_EQ(reply.revision, 431u);
+}
+
 TEST(Wire, RefusesAGangWhoseAttemptAndMembersDoNotGoTogether) {
     for (auto spoil : std::vector<std::function<void(Want&)>>{
              [](Want& w) { w.attempt = 0; }, [](Want& w) { w.members.pop_back(); },
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -1,6 +1,7 @@
 #include "world.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "policy/defaults.h"
 
@@ -13,6 +14,8 @@
     double rate = 1; // of its steady clock
     bool refused_by_state = false;
     bool cut_from_workers = false;
+    Time frozen_until = 0;
+    std::vector<Input> held; // while it is frozen
 };
 
 struct World::Worker {
@@ -165,6 +168,8 @@
 
 void World::crash(int i, double restart_s) {
     nodes_[i]->core.reset();
+    nodes_[i]->held.clear();
+    nodes_[i]->frozen_until = 0;
     ++nodes_[i]->life;
     int life = nodes_[i]->life;
     at(now_ + restart_s, [this, i, life] {
@@ -176,12 +181,47 @@
 
 void World::input(int i, Input in) {
     Node& n = *nodes_[i];
-    if (n.core) {
+    if (n.core && now_ < n.frozen_until) {
+        n.held.push_back(std::move(in));
+    } else if (n.core) {
         carry_out(i, n.core->handle(1000.0 * i + now_ * n.rate, std::move(in)));
     }
 }
 
+void World::freeze(int i, double seconds) {
+    nodes_[i]->frozen_until = now_ + seconds;
+    at(now_ + seconds, [this, i, life = nodes_[i]->life] {
+        std::vector<Input> held = std::exchange(nodes_[i]->held, {});
+        for (auto& in : held) {
+            if (nodes_[i]->life == life) {
+                input(i, std::move(in));
+            }
+        }
+    });
+}
+
+bool World::give(int part, const ShareId& share, int to) {
+    int node = owner(part);
+    Node* n = node < 0 ? nullptr : nodes_[node].get();
+    return n && n->core && now_ >= n->frozen_until &&
+           n->core->give(1000.0 * node + now_ * n->rate, part, share, to);
+}
+
+std::vector<ShareId> World::shares(int part) const {
+    int node = owner(part);
+    return node < 0 || !nodes_[node]->core ? std::vector<ShareId>{}
+                                           : nodes_[node]->core->shares(part);
+}
+
+std::size_t World::logged(const std::string& event) const {
+    auto it = log_counts_.find(event);
+    return it == log_counts_.end() ? 0 : it->second;
+}
+
 void World::carry_out(int i, Outputs out) {
+    for (const auto& line : out.log) {
+        ++log_counts_[line.text.substr(0, line.text.find(' '))];
+    }
     for (const auto& a : out.answers) {
         auto it = reports_.find(a.request);
         if (it != reports_.end()) {
@@ -385,6 +425,12 @@
     changed(key, false);
 }
 
+void World::drop(const std::string& key) {
+    ++revision_;
+    kv_.erase(key);
+    changed(key, true);
+}
+
 CallReply World::transact(const Txn& txn) {
     CallReply r;
     for (const auto& c : txn.when) {
@@ -395,6 +441,7 @@
     }
     if (!r.failed.empty()) {
         r.status = 409;
+        r.revision = revision_;
         return r;
     }
     for (const auto& c : txn.then) {
@@ -435,7 +482,8 @@
         auto from =
             range->after.empty() ? kv_.lower_bound(range->prefix) : kv_.upper_bound(range->after);
         for (; from != kv_.end() && from->first.starts_with(range->prefix); ++from) {
-            if (r.items.size() == 12) { // small, so that longer lists come in pages
+            // Small, so that longer lists come in pages; what is read at one revision is not long.
+            if (r.items.size() == 12 && range->prefix != "part/") {
                 r.more = true;
                 break;
             }
--- a/tests/world.h
+++ b/tests/world.h
@@ -49,6 +49,14 @@
 
     // Faults.
     void crash(int node, double restart_s);
+    // It stands still while its clock runs on; what comes meanwhile waits.
+    void freeze(int node, double seconds);
+    // Gives a share of the part to another part. False: its owner does not, now.
+    bool give(int part, const ShareId& share, int to);
+    // The shares that the part's owner holds.
+    std::vector<ShareId> shares(int part) const;
+    // Moves of shares that were completed, and lines of the log with this event.
+    std::size_t logged(const std::string& event) const;
     void state_down(bool down) { state_down_ = down; }
     void state_refuses(int node, bool refuses);
     void cut_workers(int node, bool cut);
@@ -88,8 +96,10 @@
     Counts counts() const;
     // Calls the test wants to see or hold back: return true to swallow the message.
     std::function<bool(int node, const CallBody&)> intercept;
-    // Puts a raw record into the state service.
+    // Puts a raw record into the state service, or takes one away.
     void put(const std::string& key, Record record);
+    void drop(const std::string& key);
+    bool stands(const std::string& key) const { return kv_.contains(key); }
     const Facts& facts(int node) const;
 
   private:
@@ -184,6 +194,7 @@
     std::map<std::string, int> gang_save_count_;
     Counts counts_;
     std::map<std::string, std::size_t> call_counts_;
+    std::map<std::string, std::size_t> log_counts_;
 };
 
 } // namespace orchidlanding::test
