A new owner reads listings at the state service while calls are refused; the timer looks at what is due

While controllers refuse each other's calls, older tasks of a part that was taken over waited beside idle slots until the calls went through, up to 80 s. Now holders of shares that read a claim they are not called under write their listing for it, conditional on both claims, and the new owner reads it (Postbox). The test with all calls refused and an owner lost starts older tasks within seconds.

Leases, lots, reservations and the count of reporting machines no longer look at every machine at each tick.

--- /dev/null
+++ b/bench/share_bench.cpp
@@ -0,0 +1,130 @@
+// Moves of shares and the loss of a controller at the size of a fleet, on the tests' world with its
+// fake clock: how long, how many messages, state changes and listed entries, and how long machines
+// give no slots. Simulated machines; delays of 1 to 20 ms a message.
+//
+//   share_bench [machines]
+#include <cstdio>
+#include <cstdlib>
+
+#include "core/parts.h"
+#include "world.h"
+
+using namespace orchidlanding;
+using namespace orchidlanding::test;
+
+namespace {
+struct Line {
+    Time at = 0;
+    std::string text;
+};
+
+double median(std::vector<double> values) {
+    if (values.empty()) {
+        return 0;
+    }
+    std::sort(values.begin(), values.end());
+    return values[values.size() / 2];
+}
+
+std::string share_in(const std::string& text) {
+    auto at = text.find("share=") + 6;
+    return text.substr(at, text.find(' ', at) - at);
+}
+
+std::size_t messages(const World& w) {
+    std::size_t sum = 0;
+    for (const char* kind : {"get", "range", "txn", "watch", "orders", "peer"}) {
+        sum += w.calls_of(kind);
+    }
+    return sum;
+}
+} // namespace
+
+int main(int argc, char** argv) {
+    int machines = argc > 1 ? std::atoi(argv[1]) : 1000;
+    WorldOptions options{.seed = 1, .nodes = 5, .run_s = 600, .boot_s = 5};
+    options.limits = 1e6;
+    options.capacity = static_cast<std::size_t>(machines);
+    options.one_zone = true;
+    World w(options);
+    std::vector<Line> log;
+    w.on_log = [&](Time at, int, const std::string& text) { log.push_back({at, text}); };
+    w.run_for(3);
+    JobSpec s = w.job("req-1", static_cast<std::uint32_t>(machines * 2), 4);
+    w.submit(0, s);
+    w.run_for(60);
+    std::printf("machines %zu, shares %zu\n", w.machines_up().size(),
+                all_shares(w.facts(0)).size());
+
+    // Moves: against the same time without.
+    auto count = [&](double seconds) {
+        std::size_t m = messages(w);
+        std::size_t t = w.calls_of("txn");
+        double l = w.counts().listed;
+        w.run_for(seconds);
+        return std::array<double, 3>{static_cast<double>(messages(w) - m),
+                                     static_cast<double>(w.calls_of("txn") - t),
+                                     w.counts().listed - l};
+    };
+    auto calm = count(20);
+    log.clear();
+    int moves = 0;
+    for (int k = 0; k < 5; ++k) {
+        auto shares = w.shares(k);
+        moves += !shares.empty() && w.give(k, shares[0], (k + 1) % 5);
+    }
+    auto moved = count(20);
+    std::map<std::string, Time> passing;
+    std::vector<double> gave;
+    std::vector<double> pause;
+    for (const auto& line : log) {
+        if (line.text.starts_with("event=share_passing")) {
+            passing[share_in(line.text)] = line.at;
+        } else if (line.text.starts_with("event=share_moved")) {
+            gave.push_back(line.at - passing[share_in(line.text)]);
+        } else if (line.text.starts_with("event=share_accounted")) {
+            pause.push_back(line.at - passing[share_in(line.text)]);
+        }
+    }
+    std::printf("moves %d: until given, median %.3f s; until its machines give slots again, median "
+                "%.3f s, most %.3f s\n",
+                moves, median(gave), median(pause),
+                pause.empty() ? 0 : *std::max_element(pause.begin(), pause.end()));
+    std::printf("a move: %.1f messages, %.1f transactions, %.1f entries listed\n",
+                (moved[0] - calm[0]) / moves, (moved[1] - calm[1]) / moves,
+                (moved[2] - calm[2]) / moves);
+
+    // The loss of a controller.
+    log.clear();
+    Time lost = w.now();
+    w.crash(1, 1e6);
+    w.run_for(60);
+    Time claimed = 0;
+    Time last = 0;
+    for (const auto& line : log) {
+        if (line.text.starts_with("event=part_claimed")) {
+            claimed = claimed > 0 ? claimed : line.at;
+        } else if (line.text.starts_with("event=share_accounted") ||
+                   line.text.starts_with("event=part_settled")) {
+            last = line.at;
+        }
+    }
+    std::map<int, double> load; // machines, by the node that answers for them
+    for (const auto& name : w.machines_up()) {
+        load[w.node_of(name)] += 1;
+    }
+    double most = 0;
+    double all = 0;
+    for (const auto& [node, n] : load) {
+        most = std::max(most, n);
+        all += n;
+    }
+    std::printf("loss of one of five: claimed after %.1f s, all machines give slots %.2f s later; "
+                "largest load of a survivor over the mean %.2f\n",
+                claimed - lost, last - claimed, most / (all / 4));
+    if (!w.broken.empty()) {
+        std::printf("broken: %s\n", w.broken.front().c_str());
+        return 1;
+    }
+    return 0;
+}
--- a/src/core/borrowing.cpp
+++ b/src/core/borrowing.cpp
@@ -226,6 +226,14 @@
     }
 }
 
+void Borrowing::take_posted(Time now, int part, const ExchangeReply& reply) {
+    Peer& peer = peers_.at(part);
+    if (reply.term >= peer.heard_term) {
+        peer.heard_term = reply.term;
+        reconcile(now, part, peer, reply);
+    }
+}
+
 // What a reply says counts by share: only under the latest term that we know of, and not for shares
 // that we hold ourselves. `complete`: nothing has to be listed again.
 Borrowing::Listings Borrowing::current(int part, const ExchangeReply& reply, bool& complete) {
--- a/src/core/borrowing.h
+++ b/src/core/borrowing.h
@@ -50,6 +50,8 @@
     void call(Time now);
     // All peers are to be called at once: one may have slots where we have none.
     void call_soon();
+    // A listing of another part's owner that came by another way than a call.
+    void take_posted(Time now, int part, const ExchangeReply& reply);
     // Its holder has accounted for our tasks on the machines of the share.
     bool inventoried(const ShareId& share) const { return inventoried_.contains(share); }
     bool grant_suits(const Job& job, const Grant& grant) const;
--- a/src/core/demand_book.cpp
+++ b/src/core/demand_book.cpp
@@ -124,11 +124,16 @@
         return standing_;
     }
     until_ = now + policy_.exchange_s;
-    standing_ = {demand(now), {0, 0, capacity_}};
-    for (const auto& [name, m] : machines_.all()) {
-        ++effort_;
-        if (fleet_.usable(now, m)) {
-            (m.spot ? standing_.fleet.spot : standing_.fleet.ordinary) += m.type.slots();
+    standing_.demand = demand(now);
+    standing_.fleet.capacity = capacity_;
+    if (now >= counted_until_) {
+        counted_until_ = now + facts_.report_s / 6;
+        standing_.fleet = {0, 0, capacity_};
+        for (const auto& [name, m] : machines_.all()) {
+            ++effort_;
+            if (fleet_.usable(now, m)) {
+                (m.spot ? standing_.fleet.spot : standing_.fleet.ordinary) += m.type.slots();
+            }
         }
     }
     return standing_;
--- a/src/core/demand_book.h
+++ b/src/core/demand_book.h
@@ -24,9 +24,9 @@
 
     // Work that has come: such as is to start sooner than a machine boots is remembered.
     void arrived(Time now, const JobSpec& spec);
-    // Counted anew once a moment, as every call to a peer says it.
+    // Counted anew once a moment, as every call to a peer says it; the machines less often.
     const Standing& standing(Time now);
-    void stale() { until_ = 0; }
+    void stale() { until_ = counted_until_ = 0; }
     // The owner of another part has said how it stands.
     void heard(Time now, int part, const Demand& demand, const FleetView& fleet);
     // Of all parts together.
@@ -67,6 +67,7 @@
     BoughtMachines bought_;
     Standing standing_;
     Time until_ = 0;
+    Time counted_until_ = 0; // the machines
     double capacity_ = 1;
     struct Arrival {
         Time at = 0;
--- a/src/core/io.h
+++ b/src/core/io.h
@@ -110,14 +110,6 @@
     Demand demand;
     FleetView fleet;
 };
-struct HeldTask {
-    ListedTask listed;
-    std::string machine;
-    std::string zone;
-    bool shape_unknown = false;
-    bool draining = false; // its machine is to go ...
-    bool notice = false;   // ... and the cloud has said so
-};
 struct Grant { // slots handed over, struck from their owner's list
     StartId id;
     std::string job;
@@ -132,12 +124,6 @@
     double gpus = 0;
     double ram_gb = 0;
 };
-struct ShareListing { // what a reply says of a share that its sender holds
-    ShareId share;
-    std::uint64_t term = 0;
-    bool accounted = false; // each of its machines is
-    bool whole = false;     // all of them are listed, not only those of `machines`
-};
 struct ExchangeReply {
     std::uint64_t term = 0;
     bool settled = false; // every machine of the part is accounted for
--- a/src/core/lending.cpp
+++ b/src/core/lending.cpp
@@ -50,7 +50,7 @@
 
 bool Lending::called_by_all() const {
     return std::all_of(thieves_.begin(), thieves_.end(),
-                       [](const auto& t) { return t.second.term > 0; });
+                       [](const auto& t) { return t.second.called > 0; });
 }
 
 bool Lending::owes_ends(const Machine& m) const {
@@ -73,8 +73,8 @@
         calls_.answer(request, 409, Plain{"a later owner has called"});
         return;
     }
-    bool later = in.term > thief.term;
-    thief.term = in.term;
+    know_term(now, thief, in.term);
+    thief.called = in.term;
     for (const auto& told : in.told) {
         if (Machine* m = machines_.find(told.machine)) {
             take_told(*m, told, in.from);
@@ -92,12 +92,9 @@
     thief.wants_at = now;
     thief.left = in.most;
     demand_.heard(now, in.from, in.demand, in.fleet);
-    if (later) {
-        fence_lots(now); // of the owner before
-    }
     owner_.serve(now);
 
-    ExchangeReply reply = listing_for(now, in);
+    ExchangeReply reply = listing(now, in);
     for (auto& g : std::exchange(thief.grants, {})) {
         Machine* m = machines_.find(g.machine);
         if (m && m->lots.contains(g.id)) {
@@ -107,7 +104,28 @@
     calls_.answer(request, 200, std::move(reply));
 }
 
-ExchangeReply Lending::listing_for(Time now, const Exchange& in) {
+// Slots that an owner before it got are fenced.
+void Lending::know_term(Time now, Thief& thief, std::uint64_t term) {
+    if (term > thief.term) {
+        thief.term = term;
+        fence_lots(now);
+    }
+}
+
+std::optional<ExchangeReply> Lending::listing_for(Time now, int part, std::uint64_t term) {
+    Thief& thief = thieves_.at(part);
+    if (term < thief.term) {
+        return std::nullopt;
+    }
+    know_term(now, thief, term);
+    Exchange in;
+    in.from = part;
+    in.term = term;
+    ExchangeReply reply = listing(now, in);
+    return reply.settled && reply.clean ? std::optional(std::move(reply)) : std::nullopt;
+}
+
+ExchangeReply Lending::listing(Time now, const Exchange& in) {
     ExchangeReply reply;
     reply.term = claim_.term();
     reply.clean = true;
@@ -294,6 +312,7 @@
     to.grants.push_back({id, want.job, m.name, m.endpoint, m.session, lot.token, m.type.name,
                          m.zone, m.spot, want.cpus, want.gpus, want.ram_gb});
     m.lots.emplace(id, std::move(lot));
+    lent_.insert(m.name);
     owner_.relist(m);
     --want.count;
     --to.left;
@@ -302,18 +321,27 @@
 // A slot whose start does not show, or that an owner before the present one got: a higher token
 // makes sure that the start never comes, and the next report under it frees the slot.
 void Lending::fence_lots(Time now) {
-    for (auto& [name, m] : machines_.all()) {
+    std::vector<Machine*> fence;
+    std::erase_if(lent_, [&](const std::string& name) {
         ++effort_;
-        bool fence = std::any_of(m.lots.begin(), m.lots.end(), [&](const auto& l) {
+        Machine* m = machines_.find(name);
+        if (!m || m->lots.empty()) {
+            return true;
+        }
+        bool old = std::any_of(m->lots.begin(), m->lots.end(), [&](const auto& l) {
             const Lot& lot = l.second;
-            bool old = now - lot.since > kLotReports * facts_.report_s ||
-                       lot.thief_term < thieves_.at(lot.thief).term;
-            return old && lot.token == m.token();
+            return (now - lot.since > kLotReports * facts_.report_s ||
+                    lot.thief_term < thieves_.at(lot.thief).term) &&
+                   lot.token == m->token();
         });
-        if (fence) {
-            machines_.fence(m);
-            owner_.relist(m);
+        if (old) {
+            fence.push_back(m);
         }
+        return false;
+    });
+    for (Machine* m : fence) {
+        machines_.fence(*m);
+        owner_.relist(*m);
     }
 }
 
--- a/src/core/lending.h
+++ b/src/core/lending.h
@@ -52,12 +52,18 @@
     // A task that ended on the machine is not known yet to the owner of its job.
     bool owes_ends(const Machine& machine) const;
     bool called_by_all() const;
+    // The term under which the owner of the part last called; 0: it has not.
+    std::uint64_t heard_from(int part) const { return thieves_.at(part).called; }
+    // The whole listing for the owner of the part under that term, as if it had called; none while
+    // it would not be complete. From then on calls of earlier owners are refused.
+    std::optional<ExchangeReply> listing_for(Time now, int part, std::uint64_t term);
     std::uint64_t effort() const { return effort_; }
 
   private:
     struct Thief {
-        std::uint64_t term = 0;
-        std::uint64_t acked = 0; // the version of our listing that it has taken in
+        std::uint64_t term = 0;   // the latest that is known of
+        std::uint64_t called = 0; // ... and that it has called under
+        std::uint64_t acked = 0;  // the version of our listing that it has taken in
         std::vector<Want> wants;
         Time wants_at = 0;
         std::uint32_t left = 0;
@@ -65,7 +71,8 @@
     };
     void take_told(Machine& machine, const Told& told, int thief);
     void take_shape(Machine& machine, const Told& told);
-    ExchangeReply listing_for(Time now, const Exchange& in);
+    ExchangeReply listing(Time now, const Exchange& in);
+    void know_term(Time now, Thief& thief, std::uint64_t term);
     void enter(const std::string& machine);
     void list_guests(const Machine& machine, int thief, ExchangeReply& reply);
 
@@ -82,6 +89,7 @@
     // only.
     std::map<std::uint64_t, std::string> log_;
     std::uint64_t version_ = 1;
+    std::set<std::string> lent_;               // machines that may have lots
     std::map<ShareId, std::uint64_t> covered_; // and since which version
     std::uint64_t floor_ = 0; // changes up to here may have been dropped from the log
     std::uint64_t effort_ = 0;
--- a/src/core/machine_table.cpp
+++ b/src/core/machine_table.cpp
@@ -137,6 +137,7 @@
     m.known_since = now;
     m.idle_since = now;
     m.lease_end = now + lease_bound_s();
+    look_at(m, m.lease_end);
     return m;
 }
 
@@ -149,6 +150,7 @@
     for (const auto& [task, p] : it->second.tasks) {
         gone.push_back({task, p, ExitWhy::none});
     }
+    set_reported(it->second, false);
     machines_.erase(it);
     return gone;
 }
@@ -183,7 +185,7 @@
     if (newer) {
         result.fresh = true;
         m.tick = report.tick;
-        m.reported = true;
+        set_reported(m, true);
         m.fenced = report.token >= m.token();
         m.notice_s = report.notice_s;
         m.foreign.clear();
@@ -282,7 +284,7 @@
     m.outbox.clear();
     m.foreign.clear();
     m.finished.clear();
-    m.reported = false;
+    set_reported(m, false);
     m.fenced = false;
     m.lapsed_session = std::max(m.lapsed_session, m.session);
     return gone;
@@ -290,6 +292,34 @@
 
 bool MachineTable::lapsed(Time now, const Machine& m) const { return now > m.lease_end; }
 
+void MachineTable::look_at(Machine& m, Time when) {
+    m.due_at = when;
+    due_.emplace(when, m.name);
+}
+
+void MachineTable::set_reported(Machine& m, bool reported) {
+    reporting_ += reported && !m.reported ? 1 : 0;
+    reporting_ -= m.reported && !reported ? 1 : 0;
+    m.reported = reported;
+}
+
+std::vector<Machine*> MachineTable::lapsing(Time now) {
+    std::vector<Machine*> out;
+    while (!due_.empty() && due_.begin()->first < now) {
+        auto entry = due_.extract(due_.begin());
+        Machine* m = find(entry.value().second);
+        if (!m || m->due_at != entry.value().first) {
+            continue; // gone, or entered anew since
+        }
+        bool over = lapsed(now, *m);
+        look_at(*m, over ? now + margin_s_ : m->lease_end);
+        if (over) {
+            out.push_back(m);
+        }
+    }
+    return out;
+}
+
 void MachineTable::queue_start(Time now, Machine& m, const TaskRef& task, Placement placement) {
     placement.since = now;
     m.outbox.push_back({Op::start, task, placement.attempt, 0});
--- a/src/core/machine_table.h
+++ b/src/core/machine_table.h
@@ -75,6 +75,7 @@
     Time known_since = 0;
     double age_at_known_s = 0;
     Time lease_end = 0; // by then the worker has given up this session if nobody renews it
+    Time due_at = 0;    // when that is looked at next
     int unanswered = 0; // direct questions in a row
     bool on_roster = false;
     bool roster_write = false; // wanted there
@@ -157,6 +158,11 @@
     // The lease has run out by any clock: everything on the machine is gone.
     std::vector<ListingResult::Gone> lapse(Machine& machine);
     bool lapsed(Time now, const Machine& machine) const;
+    // Machines whose lease has run out. Only those that may have are looked at, each about once in
+    // a lease time.
+    std::vector<Machine*> lapsing(Time now);
+    // How many have reported and not lapsed since.
+    std::size_t reporting() const { return reporting_; }
     double lease_bound_s() const;
 
     void queue_start(Time now, Machine& machine, const TaskRef& task, Placement placement);
@@ -178,7 +184,11 @@
     double lease_s_;
     double margin_s_;
     std::map<std::string, Machine> machines_;
-    std::set<std::string> queued_; // those that may have something in their outbox
+    std::set<std::string> queued_;               // those that may have something in their outbox
+    std::set<std::pair<Time, std::string>> due_; // by Machine::due_at
+    std::size_t reporting_ = 0;
+    void look_at(Machine& machine, Time when);
+    void set_reported(Machine& machine, bool reported);
 };
 
 } // namespace orchidlanding
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -41,7 +41,8 @@
       lending_(claim_, facts_, holdings_, machines_, order_, demand_, calls_, *this),
       borrowing_(claim_, facts_, policy_, table_, holdings_, jobs_, teams_, gangs_, order_, demand_,
                  calls_, *this),
-      mover_(claim_, facts_, table_, holdings_, calls_, *this), balance_(facts_), watched_at_(now) {
+      mover_(claim_, facts_, table_, holdings_, calls_, *this), balance_(facts_),
+      postbox_(claim_, facts_, table_, calls_, *this), watched_at_(now) {
     load(now, kJobs, "");
 }
 
@@ -346,28 +347,19 @@
 }
 
 void PartOwner::check_leases(Time now) {
-    for (auto& [name, m] : machines_.all()) {
+    for (Machine* m : machines_.lapsing(now)) {
         // While a share may be another's, that one may renew the leases there.
-        if (!machines_.lapsed(now, m) || (!m.reported && m.tasks.empty()) ||
-            !holdings_.serves(m.share)) {
+        if ((!m->reported && m->tasks.empty()) || !holdings_.serves(m->share)) {
             continue;
         }
-        calls_.log(Level::info, "event=machine_lapsed machine=" + name);
-        for (const auto& g : machines_.lapse(m)) {
-            gone(now, name, g);
+        calls_.log(Level::info, "event=machine_lapsed machine=" + m->name);
+        for (const auto& g : machines_.lapse(*m)) {
+            gone(now, m->name, g);
         }
-        relist(m);
+        relist(*m);
     }
 }
 
-std::size_t PartOwner::reporting() const {
-    std::size_t n = 0;
-    for (const auto& [name, m] : machines_.all()) {
-        n += m.reported;
-    }
-    return n;
-}
-
 bool PartOwner::counts(const std::string& id, std::uint32_t& done, std::uint32_t& running) {
     Job* job = jobs_.find(id);
     if (!job) {
@@ -400,6 +392,13 @@
     borrowing_.call(now);
 }
 
+void PartOwner::take_posted(Time now, int part, const ExchangeReply& reply) {
+    borrowing_.take_posted(now, part, reply);
+    settle(now);
+    place(now);
+    send_orders(now);
+}
+
 void PartOwner::serve(Time now) {
     place(now);
     press(now);
@@ -550,6 +549,7 @@
     send_orders(now);
     borrowing_.call(now);
     mover_.tick(now);
+    postbox_.tick(now);
 }
 
 } // namespace orchidlanding
--- a/src/core/part_owner.h
+++ b/src/core/part_owner.h
@@ -12,12 +12,18 @@
 #include "core/job_index.h"
 #include "core/lending.h"
 #include "core/mover.h"
+#include "core/postbox.h"
 #include "core/renting.h"
 #include "core/roster.h"
 
 namespace orchidlanding {
 
-class PartOwner : Renting::Part, Accounts::Part, Lending::Part, Borrowing::Part, Mover::Part {
+class PartOwner : Renting::Part,
+                  Accounts::Part,
+                  Lending::Part,
+                  Borrowing::Part,
+                  Mover::Part,
+                  Postbox::Part {
   public:
     PartOwner(Time now, int part, const Facts& facts, const Policy& policy,
               const Authority& authority, PartTable& table, StateBudget& budget, JobIndex& index,
@@ -35,7 +41,7 @@
     bool answered(Time now, CallReply& reply) { return calls_.answered(now, reply); }
     void take(Outputs& out) { calls_.take(out); }
     // Machines that have reported and not lapsed since.
-    std::size_t reporting() const;
+    std::size_t reporting() const { return machines_.reporting(); }
     // Direct commands to workers without an answer since the last that had one.
     int unanswered() const { return std::max(unanswered_, borrowing_.unanswered()); }
     // Machines and jobs looked at so far: what grows with the fleet must not grow with each report.
@@ -138,6 +144,12 @@
     void expect(Time now, const Bought& bought) override { renting_.expect(now, bought); }
     void take_given(Time now, const Given& given) override;
     void tell_given(int to, const Given& given) override;
+    std::uint64_t heard_from(int part) const override { return lending_.heard_from(part); }
+    std::optional<ExchangeReply> listing_for(Time now, int part, std::uint64_t term) override {
+        return lending_.listing_for(now, part, term);
+    }
+    void take_posted(Time now, int part, const ExchangeReply& reply) override;
+    bool awaits_listings() const override { return loaded_ && !settled_; }
     bool still(const ShareId& share) const override;
     void relist(const ShareId& share) override;
     void list_again(const ShareId& share) override;
@@ -174,10 +186,12 @@
     Borrowing borrowing_;
     Mover mover_;
     Balance balance_;
+    Postbox postbox_;
     int unanswered_ = 0;
     mutable std::uint64_t effort_ = 0;
     std::optional<Gathering> gathering_;
     std::map<std::string, Time> pressed_; // jobs that room was looked for, and when again
+    std::set<std::string> reserved_;      // machines that room may have been made on
     std::uint64_t watch_from_ = 0;
     std::vector<Range> load_again_;
     // Under way, for which shares under which terms.
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -104,6 +104,7 @@
     std::size_t stopped = 0;
     for (const auto& room : *best) {
         room.machine->reserved_for = s.id;
+        reserved_.insert(room.machine->name);
         room.machine->reserved_until = now + facts_.report_s;
         for (const auto& task : room.victims) {
             machines_.queue_stop(*room.machine, task, room.machine->tasks.at(task).attempt, 0);
@@ -118,11 +119,16 @@
 
 // For our own gangs and replicas that wait, and for those of peers who have no room of their own.
 void PartOwner::end_reservations(Time now) {
-    for (auto& [name, m] : machines_.all()) {
-        if (!m.reserved_for.empty() && now > m.reserved_until) {
-            m.reserved_for.clear();
+    std::erase_if(reserved_, [&](const std::string& name) {
+        Machine* m = machines_.find(name);
+        if (m && now <= m->reserved_until) {
+            return false;
         }
-    }
+        if (m) {
+            m->reserved_for.clear();
+        }
+        return true;
+    });
 }
 
 void PartOwner::press(Time now) {
--- a/src/core/shares.h
+++ b/src/core/shares.h
@@ -7,11 +7,6 @@
 
 namespace orchidlanding {
 
-struct ShareId {
-    int home = 0; // the part that holds it where there is no map
-    int number = 0;
-    auto operator<=>(const ShareId&) const = default;
-};
 std::string text_of(const ShareId& share);
 
 // How many shares a home has: a share is at most about a twentieth of the machines, however these
--- a/src/core/takeover.cpp
+++ b/src/core/takeover.cpp
@@ -219,6 +219,11 @@
     for (const auto& share : accounts_.look(now)) {
         lending_.cover(share);
         borrowing_.gone_with(now, share);
+        if (Time since = holdings_.find(share)->since; since > claim_.since()) {
+            calls_.log(Level::info, "event=share_accounted share=" + text_of(share) +
+                                        " part=" + std::to_string(part_) +
+                                        " took_s=" + std::to_string(now - since));
+        }
     }
     if (settled_) {
         return;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -91,6 +91,29 @@
     double grace_s = 0;
 };
 
+// A share of machines, see shares.h.
+struct ShareId {
+    int home = 0; // the part that holds it where there is no map
+    int number = 0;
+    auto operator<=>(const ShareId&) const = default;
+};
+
+// What the holder of a share says of a machine's task to the owner of its job, and of the share.
+struct HeldTask {
+    ListedTask listed;
+    std::string machine;
+    std::string zone;
+    bool shape_unknown = false;
+    bool draining = false; // its machine is to go ...
+    bool notice = false;   // ... and the cloud has said so
+};
+struct ShareListing { // what a reply says of a share that its sender holds
+    ShareId share;
+    std::uint64_t term = 0;
+    bool accounted = false; // each of its machines is
+    bool whole = false;     // all of them are listed, not only those of `machines`
+};
+
 struct MachineType {
     std::string name;
     double cpus = 0;
@@ -145,9 +168,20 @@
 struct CatalogRecord { // catalog: as the cloud last gave it, for a start while the cloud is down
     std::vector<MachineType> types;
 };
+// account/<part>/<holder>/<page>: what a holder of shares lists for a new owner of the part who
+// does not reach it, see postbox.h. Pages of one listing have the same terms and version.
+struct AccountRecord {
+    std::uint64_t for_term = 0; // of the claim that it is for
+    std::uint64_t term = 0;     // of the holder's claim
+    std::uint64_t version = 0;  // of its listing
+    std::uint32_t pages = 0;
+    std::vector<ShareListing> shares;
+    std::vector<HeldTask> held;
+    std::vector<StartId> open;
+};
 struct Unreadable {};
 using Record = std::variant<Unreadable, JobRecord, ProgressRecord, PartRecord, ShareRecord,
-                            MachineRecord, CatalogRecord>;
+                            MachineRecord, CatalogRecord, AccountRecord>;
 
 struct KeyedRecord {
     std::string key;
--- a/src/wire/exchange.cpp
+++ b/src/wire/exchange.cpp
@@ -336,6 +336,72 @@
     return r;
 }
 
+// A listing as a record: in lists without names, as a value holds few KiB.
+void pack_account(Packer& p, const AccountRecord& a) {
+    p.pack_map(7);
+    field(p, "for_term", a.for_term);
+    field(p, "term", a.term);
+    field(p, "version", a.version);
+    field(p, "pages", a.pages);
+    key(p, "shares");
+    pack_listings(p, a.shares);
+    key(p, "held");
+    p.pack_array(static_cast<std::uint32_t>(a.held.size()));
+    for (const auto& h : a.held) {
+        p.pack_array(7);
+        p.pack(text_of(h.listed.task));
+        p.pack(h.listed.attempt);
+        p.pack(static_cast<int>(h.listed.stage));
+        p.pack(static_cast<int>(h.listed.why));
+        p.pack(h.machine);
+        p.pack(h.zone);
+        p.pack((h.shape_unknown ? 1 : 0) + (h.draining ? 2 : 0) + (h.notice ? 4 : 0));
+    }
+    key(p, "open");
+    p.pack_array(static_cast<std::uint32_t>(a.open.size()));
+    for (const auto& id : a.open) {
+        p.pack_array(2);
+        p.pack(id.attempt);
+        p.pack(id.index);
+    }
+}
+
+AccountRecord account_of(const Fields& f) {
+    AccountRecord a;
+    a.for_term = f.integer("for_term");
+    a.term = f.integer("term");
+    a.version = f.integer("version");
+    a.pages = index_of(f.need("pages"), "pages");
+    for (const auto* item : f.list("shares")) {
+        a.shares.push_back(listing_of(*item));
+    }
+    for (const auto* item : f.list("held")) {
+        auto h = Fields::list_of(*item, "held");
+        if (h.size() != 7 || Fields::integer_of(*h[2], "held") >= kStages.size() ||
+            Fields::integer_of(*h[3], "held") >= kWhys.size()) {
+            throw BadMessage("held: not a task");
+        }
+        std::uint64_t flags = Fields::integer_of(*h[6], "held");
+        a.held.push_back(
+            {{task_of(Fields::text_of(*h[0], "held")), Fields::integer_of(*h[1], "held"),
+              static_cast<TaskStage>(Fields::integer_of(*h[2], "held")),
+              static_cast<ExitWhy>(Fields::integer_of(*h[3], "held"))},
+             Fields::text_of(*h[4], "held"),
+             Fields::text_of(*h[5], "held"),
+             (flags & 1) != 0,
+             (flags & 2) != 0,
+             (flags & 4) != 0});
+    }
+    for (const auto* item : f.list("open")) {
+        auto id = Fields::list_of(*item, "open");
+        if (id.size() != 2) {
+            throw BadMessage("open: not a start");
+        }
+        a.open.push_back({Fields::integer_of(*id[0], "open"), index_of(*id[1], "open")});
+    }
+    return a;
+}
+
 void pack_promise_ask(Packer& p, const PromiseAsk& a) {
     p.pack_map(4);
     field(p, "part", a.part);
--- a/src/wire/fields.h
+++ b/src/wire/fields.h
@@ -197,5 +197,7 @@
 void pack_promise_reply(Packer& p, const PromiseReply& r);
 PromiseReply promise_reply_of(const Fields& f);
 ExchangeReply exchange_reply_of(const Fields& f);
+void pack_account(Packer& p, const AccountRecord& a);
+AccountRecord account_of(const Fields& f);
 
 } // namespace orchidlanding::wire
--- a/src/wire/records.cpp
+++ b/src/wire/records.cpp
@@ -124,6 +124,8 @@
         field(p, "type", machine->type);
         field(p, "zone", machine->zone);
         field(p, "spot", machine->spot);
+    } else if (const auto* account = std::get_if<AccountRecord>(&record)) {
+        pack_account(p, *account);
     } else if (const auto* catalog = std::get_if<CatalogRecord>(&record)) {
         pack_types(p, catalog->types);
     } else {
@@ -158,6 +160,9 @@
         if (key == "catalog") {
             return CatalogRecord{types_of(f)};
         }
+        if (key.starts_with("account/")) {
+            return account_of(f);
+        }
         if (key.starts_with("machine/")) {
             return MachineRecord{f.text("endpoint"), f.text("type"), f.text("zone"),
                                  f.flag("spot")};
--- a/tests/share_test.cpp
+++ b/tests/share_test.cpp
@@ -769,6 +769,52 @@
     EXPECT_TRUE(w.broken.empty()) << w.broken.front();
 }
 
+// Controllers refuse each other's calls while one of them is lost: its older tasks do not wait
+// until the calls go through again, since the listings come by way of the state service.
+TEST(ShareTakeover, OlderTasksRunWhilePeersRefuseCalls) {
+    WorldOptions options = five(13);
+    options.run_s = 25;
+    options.limits = 4; // so that tasks wait when their owner is lost
+    World w(options);
+    w.run_for(3);
+    JobSpec s = w.job("req-1", 150, 2);
+    w.submit(0, s);
+    w.run_for(40);
+    ASSERT_FALSE(w.all_done("req-1"));
+    for (int a = 0; a < 5; ++a) {
+        for (int b = 0; b < a; ++b) {
+            w.cut_peers(a, b, true);
+        }
+    }
+    int part = part_of_team(w.facts(0), "red");
+    auto started = [&] {
+        int n = 0;
+        for (std::uint32_t i = 0; i < s.tasks; ++i) {
+            n += w.starts({"req-1", i});
+        }
+        return n;
+    };
+    w.crash(w.owner(part), 200);
+    w.run_for(16); // its lease is over, and another has read what there is to read
+    int before = started();
+    w.run_for(20);
+    EXPECT_GT(w.logged("event=account_posted"), 2u);
+    EXPECT_GT(started(), before);
+    w.run_for(60);
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+    for (int a = 0; a < 5; ++a) {
+        for (int b = 0; b < a; ++b) {
+            w.cut_peers(a, b, false);
+        }
+    }
+    w.run_for(300);
+    EXPECT_TRUE(w.all_done("req-1"));
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+    for (int page = 0; page < 3; ++page) { // read, and of no use any more
+        EXPECT_FALSE(w.stands("account/" + std::to_string(part) + "/0/" + std::to_string(page)));
+    }
+}
+
 // Moves forced at random all the time, while jobs, gangs and replicas run and things fail. The seed
 // chooses which faults: each alone, and all together.
 void play(std::uint64_t seed) {
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -107,11 +107,19 @@
     // What a transaction writes is what a read takes in.
     JobSpec spec = wire::parse_job(pack(good()));
     std::vector<bool> bits{true, false, false, true, true, false};
+    AccountRecord account{9, 8, 77, 3, {{{2, 5}, 8, true, true}}, {}, {{1ULL << 40, 2}}};
+    account.held.push_back({{{"req-000412", 3}, 1ULL << 50, TaskStage::exited, ExitWhy::done},
+                            "i-1",
+                            "a",
+                            false,
+                            true,
+                            true});
     for (const auto& [key, record] : std::vector<std::pair<std::string, Record>>{
              {"job/req-000412", JobRecord{Outcome::cancelled, spec}},
              {"done/req-000412/0", ProgressRecord{bits}},
              {"part/0", PartRecord{"n1", true}},
              {"part/1/shares", ShareRecord{{1, 0, 4}}},
+             {"account/1/2/0", account},
              {"machine/0/i-1", MachineRecord{"10.0.0.9:9000", "g8", "a", true}}}) {
         auto http = wire::encode_call(Txn{{}, {{key, record, {}}}});
         auto handle = msgpack::unpack(http.body.data(), http.body.size());
@@ -133,6 +141,16 @@
         if (const auto* p = std::get_if<PartRecord>(&reply.items[0].record)) {
             EXPECT_TRUE(p->node == "n1" && p->knows_shares);
         }
+        if (const auto* a = std::get_if<AccountRecord>(&reply.items[0].record)) {
+            EXPECT_TRUE(a->for_term == 9 && a->term == 8 && a->version == 77 && a->pages == 3);
+            ASSERT_TRUE(a->shares.size() == 1 && a->held.size() == 1 && a->open.size() == 1);
+            EXPECT_TRUE(a->shares[0].share == (ShareId{2, 5}) && a->shares[0].accounted);
+            EXPECT_EQ(a->held[0].listed.task, (TaskRef{"req-000412", 3}));
+            EXPECT_EQ(a->held[0].listed.attempt, 1ULL << 50);
+            EXPECT_EQ(a->held[0].listed.why, ExitWhy::done);
+            EXPECT_TRUE(a->held[0].draining && a->held[0].notice && !a->held[0].shape_unknown);
+            EXPECT_EQ(a->open[0], (StartId{1ULL << 40, 2}));
+        }
         if (const auto* h = std::get_if<ShareRecord>(&reply.items[0].record)) {
             EXPECT_EQ(h->holders, (std::vector<int>{1, 0, 4}));
         }
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -56,8 +56,12 @@
 }
 } // namespace
 
+std::vector<std::string> World::zones() const {
+    return options_.one_zone ? std::vector<std::string>{"a"} : std::vector<std::string>{"a", "b"};
+}
+
 MachineType World::machine_type() const {
-    return {"m8", 8, options_.gpus ? 4.0 : 0.0, 32, 20, 1, 1.0, 0.4, options_.boot_s, {"a", "b"}};
+    return {"m8", 8, options_.gpus ? 4.0 : 0.0, 32, 20, 1, 1.0, 0.4, options_.boot_s, zones()};
 }
 
 World::World(WorldOptions options) : options_(options), random_(options.seed) {
@@ -67,9 +71,9 @@
         f.node = "n" + std::to_string(i);
         f.home = i;
         for (int j = 0; j < options_.nodes; ++j) {
-            f.parts.push_back({"n" + std::to_string(j), j % 2 ? "b" : "a"});
+            f.parts.push_back({"n" + std::to_string(j), j % 2 && !options_.one_zone ? "b" : "a"});
         }
-        f.zones = {"a", "b"};
+        f.zones = zones();
         f.teams = {{"red", 16 * options_.limits, 24 * options_.limits, 0, 0},
                    {"blue", 8 * options_.limits, 40 * options_.limits, 0, 0}};
         if (options_.gpus) {
@@ -221,6 +225,9 @@
 void World::carry_out(int i, Outputs out) {
     for (const auto& line : out.log) {
         ++log_counts_[line.text.substr(0, line.text.find(' '))];
+        if (on_log) {
+            on_log(now_, i, line.text);
+        }
     }
     for (const auto& a : out.answers) {
         auto it = reports_.find(a.request);
@@ -938,6 +945,8 @@
     return out;
 }
 
+int World::node_of(const std::string& machine) const { return workers_.at(machine)->node; }
+
 std::string World::zone_of(const std::string& machine) const { return workers_.at(machine)->zone; }
 
 bool World::all_done(const std::string& job) const {
--- a/tests/world.h
+++ b/tests/world.h
@@ -25,7 +25,8 @@
     std::size_t capacity = 12; // machines that the cloud has
     double drift = 0.0005;     // steady clocks differ by up to this
     std::vector<Objective> objectives;
-    bool gpus = false; // machines have 4 GPUs, and teams state GPUs only
+    bool one_zone = false; // else two, with the nodes in turn
+    bool gpus = false;     // machines have 4 GPUs, and teams state GPUs only
 };
 
 class World {
@@ -73,6 +74,7 @@
     std::vector<std::string> machines_up() const;
     std::set<std::string> machines_of(const TaskRef& task) const;
     std::string zone_of(const std::string& machine) const;
+    int node_of(const std::string& machine) const; // that it reports to
     bool all_done(const std::string& job) const;
     int starts(const TaskRef& task) const;
     // Times that all tasks of a gang began to run together, and that they saved in good order.
@@ -96,6 +98,8 @@
     Counts counts() const;
     // Calls the test wants to see or hold back: return true to swallow the message.
     std::function<bool(int node, const CallBody&)> intercept;
+    // Sees each line that a node logs.
+    std::function<void(Time, int node, const std::string& text)> on_log;
     // Puts a raw record into the state service, or takes one away.
     void put(const std::string& key, Record record);
     void drop(const std::string& key);
@@ -142,6 +146,7 @@
     void gang_step();
     void comes(Worker& worker, const TaskRef& task);
     MachineType machine_type() const;
+    std::vector<std::string> zones() const;
     void start_node(int node);
     double delay();
     bool chance(double p) { return std::uniform_real_distribution<>(0, 1)(random_) < p; }
