Shares go only to owners that hear their machines; few means few of those that came together

A controller that workers cannot reach looks as if it had little to do, and would be given more. So an owner says whether it takes shares: it has settled, has none to account for, and hears three quarters of its machines. Machines that do not answer a new holder are released only if they are few of those that came at the same time, and fewer than those it hears: a share is small, and all of it may lie behind a cut. Unanswered questions count for deafness. A claim gains nothing from a map that was readable once: it may have changed before it was damaged.

--- a/src/core/accounts.cpp
+++ b/src/core/accounts.cpp
@@ -57,19 +57,37 @@
 }
 
 void Accounts::release_missing(Time now) {
+    struct Group { // of shares that came at the same time
+        std::size_t open = 0;
+        std::size_t all = 0;
+    };
+    std::map<Time, Group> groups;
     std::size_t open = 0;
     for (const auto& [id, s] : shares_) {
+        groups[s.since].open += s.open.size();
         open += s.open.size();
     }
-    if (open == 0 || open * 2 > machines_.all().size() || now < next_release_) {
+    if (open == 0 || now < next_release_) {
         return;
     }
+    std::size_t heard = 0;
+    for (const auto& [name, m] : machines_.all()) {
+        heard += m.reported && now - m.last_report < kTakeoverReports * facts_.report_s;
+        if (auto share = shares_.find(m.share); share != shares_.end()) {
+            ++groups[share->second.since].all;
+        }
+    }
+    if (open > heard) {
+        return; // it is we who hear nothing
+    }
     std::vector<std::string> missing;
     for (const auto& [id, s] : shares_) {
+        const Group& group = groups[s.since];
         bool all = now - s.since > kTakeoverReports * facts_.report_s;
         for (const auto& name : s.open) {
             const Machine* m = machines_.find(name);
-            if (m && !m->reported && !m->releasing && (all || m->unanswered >= kProbes - 1)) {
+            if (2 * group.open <= group.all && m && !m->reported && !m->releasing &&
+                (all || m->unanswered >= kProbes - 1)) {
                 missing.push_back(name);
             }
         }
@@ -93,6 +111,7 @@
                     if (!machine || !claim_.usable(at)) {
                         return;
                     }
+                    unanswered_ = reply.status == 0 ? unanswered_ + 1 : 0;
                     machine->unanswered = reply.status == 0 ? machine->unanswered + 1 : 0;
                     if (reply.report && reply.report->machine == name) {
                         if (reply.report->session > machine->lapsed_session) {
--- a/src/core/accounts.h
+++ b/src/core/accounts.h
@@ -40,8 +40,11 @@
     bool all_done() const;
     // The few machines that neither answer nor come to this owner while the rest do are most likely
     // gone. A release makes that certain long before their leases run out, and until it is certain
-    // no older task can be placed.
+    // no older task can be placed. Few, that is of those that came to us at the same time: if most
+    // of these are silent, it is more likely that something lies between.
     void release_missing(Time now);
+    // Questions without an answer since the last that had one.
+    int unanswered() const { return unanswered_; }
 
   private:
     void probe(const std::string& machine, int tries);
@@ -59,6 +62,7 @@
     };
     std::map<ShareId, Share> shares_;
     Time next_release_ = 0;
+    int unanswered_ = 0;
 };
 
 } // namespace orchidlanding
--- a/src/core/demand_book.cpp
+++ b/src/core/demand_book.cpp
@@ -126,9 +126,10 @@
     until_ = now + policy_.exchange_s;
     standing_.demand = demand(now);
     standing_.fleet.capacity = capacity_;
+    standing_.fleet.takes = takes_;
     if (now >= counted_until_) {
         counted_until_ = now + facts_.report_s / 6;
-        standing_.fleet = {0, 0, capacity_};
+        standing_.fleet = {0, 0, capacity_, takes_};
         for (const auto& [name, m] : machines_.all()) {
             ++effort_;
             if (fleet_.usable(now, m)) {
--- a/src/core/demand_book.h
+++ b/src/core/demand_book.h
@@ -31,8 +31,11 @@
     void heard(Time now, int part, const Demand& demand, const FleetView& fleet);
     // Of all parts together.
     Totals totals(Time now);
-    // What the part's owner says of its processor from now on.
-    void set_capacity(double capacity) { capacity_ = capacity; }
+    // What the part's owner says of itself from now on: see FleetView.
+    void set_capacity(double capacity, bool takes) {
+        capacity_ = capacity;
+        takes_ = takes;
+    }
     struct Peer {
         Time heard_at = 0;
         Demand demand;
@@ -69,6 +72,7 @@
     Time until_ = 0;
     Time counted_until_ = 0; // the machines
     double capacity_ = 1;
+    bool takes_ = false;
     struct Arrival {
         Time at = 0;
         double slots = 0;
--- a/src/core/holdings.cpp
+++ b/src/core/holdings.cpp
@@ -12,6 +12,9 @@
     }
     seen_ = read;
     for (const auto& [home, holders] : table_.holders()) {
+        if (!table_.readable(home)) {
+            continue; // what was read before may be older than the last change: ours stay ours
+        }
         for (int number = 0; number < static_cast<int>(holders.size()); ++number) {
             ShareId id{home, number};
             int holder = holders[static_cast<std::size_t>(number)];
--- a/src/core/io.h
+++ b/src/core/io.h
@@ -83,6 +83,7 @@
     double ordinary = 0;
     double spot = 0;
     double capacity = 1; // of its owner's processor, see balance.h
+    bool takes = false;  // its owner hears its machines and can take a share now
     double slots() const { return ordinary + spot; }
 };
 struct Bought { // a machine of the callee's part, rented by the caller for all
--- a/src/core/moving.cpp
+++ b/src/core/moving.cpp
@@ -6,6 +6,11 @@
 
 namespace orchidlanding {
 
+namespace {
+constexpr double kHeardReports = 1.5; // a machine heard within so many report times is heard
+constexpr double kHears = 0.75;       // of its machines, at least: then an owner hears them
+} // namespace
+
 std::vector<ShareId> PartOwner::shares() const {
     std::vector<ShareId> out;
     for (const auto& [id, share] : holdings_.all()) {
@@ -111,6 +116,19 @@
     }
 }
 
+// Can it be given a share? Not while it has one to account for, nor when it does not hear the
+// machines that it has: such an owner looks as if it had little to do.
+bool PartOwner::takes(Time now) const {
+    if (!settled_ || !accounts_.all_done()) {
+        return false;
+    }
+    std::size_t heard = 0;
+    for (const auto& [name, m] : machines_.all()) {
+        heard += m.reported && now - m.last_report < kHeardReports * facts_.report_s;
+    }
+    return static_cast<double>(heard) >= kHears * static_cast<double>(machines_.reporting());
+}
+
 void PartOwner::balance(Time now) {
     // Before the part has settled, and its peers have been heard, nothing is known well enough.
     if (mover_.busy() || !settled_ || now - claim_.since() < facts_.lease_s || types_.empty()) {
@@ -122,7 +140,7 @@
         const PartTable::Part& p = table_.at(part);
         bool home = p.node == facts_.parts[static_cast<std::size_t>(part)].node;
         parts.push_back({part, peer.fleet.slots(), peer.fleet.capacity,
-                         home && now - peer.heard_at < facts_.report_s});
+                         home && peer.fleet.takes && now - peer.heard_at < facts_.report_s});
     }
     std::map<ShareId, ShareLoad> loads;
     for (const auto& [id, share] : holdings_.all()) {
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -511,7 +511,6 @@
     if (!loaded_ || !claim_.usable(now)) {
         return;
     }
-    demand_.set_capacity(capacity);
     check_leases(now);
     lending_.fence_lots(now);
     accounts_.release_missing(now);
@@ -537,6 +536,7 @@
         log_stats(now);
     }
     if (renting_.due(now)) {
+        demand_.set_capacity(capacity, takes(now));
         Totals all = demand_.totals(now);
         order_.take_stock(now, all.ordinary_slots + all.spot_slots, all.demand.left_slot_s);
         renting_.run(now, accounts_.all_done() && now - claim_.since() > machines_.lease_bound_s());
--- a/src/core/part_owner.h
+++ b/src/core/part_owner.h
@@ -43,7 +43,9 @@
     // Machines that have reported and not lapsed since.
     std::size_t reporting() const { return machines_.reporting(); }
     // Direct commands to workers without an answer since the last that had one.
-    int unanswered() const { return std::max(unanswered_, borrowing_.unanswered()); }
+    int unanswered() const {
+        return std::max({unanswered_, borrowing_.unanswered(), accounts_.unanswered()});
+    }
     // Machines and jobs looked at so far: what grows with the fleet must not grow with each report.
     std::uint64_t effort() const { return effort_ + lending_.effort() + demand_.effort(); }
     // The owner of another part asks for slots for its tasks, as the owner of their jobs.
@@ -72,6 +74,7 @@
     void count_doubtful();
     void gain(Time now, const ShareId& share);
     void balance(Time now);
+    bool takes(Time now) const;
 
     // Machines and what is placed on them.
     void apply(Time now, Machine& machine, const Report& report, CallId orders) override;
--- a/src/wire/exchange.cpp
+++ b/src/wire/exchange.cpp
@@ -21,8 +21,9 @@
     field(p, "ordinary", fleet.ordinary);
     field(p, "spot", fleet.spot);
     field(p, "capacity", fleet.capacity);
+    field(p, "takes", fleet.takes);
 }
-constexpr std::uint32_t kStandingFields = 7;
+constexpr std::uint32_t kStandingFields = 8;
 
 Demand demand_of(const Fields& f) {
     Demand d{f.amount("ordinary_slots"), f.amount("any_slots"), f.amount("left_slot_s"), {}};
@@ -33,10 +34,11 @@
     return d;
 }
 
-// A node of the version before says nothing of its processor.
+// A node of the version before says nothing of its processor, and takes no shares.
 FleetView fleet_of(const Fields& f) {
     double capacity = f.maybe_amount("capacity").value_or(1);
-    return {f.amount("ordinary"), f.amount("spot"), std::clamp(capacity, 0.01, 1.0)};
+    return {f.amount("ordinary"), f.amount("spot"), std::clamp(capacity, 0.01, 1.0),
+            f.get("takes") && f.flag("takes")};
 }
 
 // There are many of them in each reply: home, number, term, and what of it is listed.
--- a/tests/share_test.cpp
+++ b/tests/share_test.cpp
@@ -215,6 +215,16 @@
         EXPECT_FALSE(t.table.readable(2));
         EXPECT_TRUE(t.table.readable(1));
     }
+    // A claim that has not held them gets none by what was read before: that may be older than the
+    // last change.
+    t.authority.granted(1, 0);
+    t.authority.claimed(4, t.revision);
+    Claim claim(0, 4, t.authority);
+    Holdings holdings(claim, t.table);
+    for (const auto& share : holdings.follow(0).gained) {
+        EXPECT_NE(share.home, 2);
+    }
+    EXPECT_FALSE(holdings.serves({2, 0}));
     // A node that has never seen a readable one knows nobody who holds them.
     Table fresh;
     ASSERT_TRUE(fresh.table.take(fresh.read({t.shares(2, short_one, 9)}), fresh.calls));
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -220,13 +220,14 @@
 TEST(Wire, SharesComeThroughAndMayBeMissing) {
     Exchange e = asks_for_a_gang();
     e.given = {{{3, 7}, 1000000007, 55}};
-    e.fleet = {320, 64, 0.25};
+    e.fleet = {320, 64, 0.25, true};
     Exchange got = wire::parse_exchange(wire::encode_call(PeerCall{"n1", e}).body);
     ASSERT_EQ(got.given.size(), 1u);
     EXPECT_EQ(got.given[0].share, (ShareId{3, 7}));
     EXPECT_EQ(got.given[0].revision, 1000000007u);
     EXPECT_EQ(got.given[0].term, 55u);
     EXPECT_EQ(got.fleet.capacity, 0.25);
+    EXPECT_TRUE(got.fleet.takes);
     ExchangeReply r;
     for (bool knows : {false, true}) {
         if (knows) {
