--- a/src/core/borrowing.cpp
+++ b/src/core/borrowing.cpp
@@ -286,7 +286,7 @@
         }
     }
     if (inventoried_.size() > before) {
-        owner_.inventoried(now);
+        owner_.settle(now);
     }
 }
 
--- a/src/core/borrowing.h
+++ b/src/core/borrowing.h
@@ -30,7 +30,7 @@
         virtual void use_gang_grants(Time now, int part, const std::vector<Grant>& grants) = 0;
         virtual void end_attempt(Time now, const std::string& job, bool saves) = 0;
         // Another part has accounted for our tasks on the machines of some more shares.
-        virtual void inventoried(Time now) = 0;
+        virtual void settle(Time now) = 0;
         // A peer has answered: slots may have become free, or wants may have to be asked anew.
         virtual void after_reply(Time now) = 0;
     };
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -40,8 +40,13 @@
 }
 
 std::vector<ShareId> Controller::shares(int part) const {
-    auto it = owners_.find(part);
-    return it == owners_.end() ? std::vector<ShareId>{} : it->second->shares();
+    std::vector<ShareId> out;
+    if (auto it = owners_.find(part); it != owners_.end()) {
+        for (const auto& [id, share] : it->second->shares()) {
+            out.push_back(id);
+        }
+    }
+    return out;
 }
 
 Outputs Controller::handle(Time now, Input input) {
--- a/src/core/gang_placing.cpp
+++ b/src/core/gang_placing.cpp
@@ -70,7 +70,7 @@
     const std::string id = job.spec.id;
     const Gangs::Attempt* attempt = gangs_.find(id);
     if (number == 0) {
-        number = attempt ? attempt->number : claim_.new_attempt(part_, true);
+        number = attempt ? attempt->number : claim_.new_attempt(claim_.part(), true);
     }
     if (!attempt) {
         gangs_.begin(now, id, number);
@@ -124,7 +124,7 @@
         }
         w.partial = true;
         if (!gathers && !members.empty()) {
-            gathering_ = Gathering{s.id, claim_.new_attempt(part_, true), {}, 0};
+            gathering_ = Gathering{s.id, claim_.new_attempt(claim_.part(), true), {}, 0};
         }
         w.attempt = gathering_ ? gathering_->attempt : 0;
     }
@@ -132,7 +132,7 @@
         return false; // our own slots will do
     }
     if (w.attempt == 0) {
-        w.attempt = claim_.new_attempt(part_, true);
+        w.attempt = claim_.new_attempt(claim_.part(), true);
     }
     w.count = static_cast<std::uint32_t>(members.size());
     w.members = std::move(members);
@@ -259,7 +259,7 @@
         for (auto it = m.tasks.lower_bound({id, 0}); it != m.tasks.end() && it->first.job == id;
              ++it) {
             if (it->second.via == Placement::Via::listed &&
-                part_of_attempt(it->second.attempt) == part_) {
+                part_of_attempt(it->second.attempt) == claim_.part()) {
                 machines_.queue_stop(m, it->first, it->second.attempt, grace_s);
             }
         }
@@ -296,7 +296,7 @@
 void PartOwner::note_gangs(Time now, const Machine& m) {
     std::set<std::string> leaving;
     for (const auto& [task, p] : m.tasks) {
-        if (p.kind != JobKind::gang || part_of_attempt(p.attempt) != part_) {
+        if (p.kind != JobKind::gang || part_of_attempt(p.attempt) != claim_.part()) {
             continue;
         }
         if (p.stage == TaskStage::running && p.via == Placement::Via::listed) {
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -9,28 +9,17 @@
 namespace orchidlanding {
 
 namespace {
-// Delays of this process that a lease bound allows for, as a part of the lease: a safety bound.
-constexpr double kMargin = 1.0 / 16;
 constexpr std::size_t kMostCommands = 200; // keeps a response well under the 64 KiB allowed
-
-std::uint32_t chunk_tasks(const Facts& facts) {
-    // Four tasks a character of hex, with a quarter of the value left for the rest.
-    return static_cast<std::uint32_t>(std::max(64.0, facts.value_kb * 1024 * 0.75 * 4));
-}
 } // namespace
 
 PartOwner::PartOwner(Time now, int part, const Facts& facts, const Policy& policy,
                      const Authority& authority, PartTable& table, StateBudget& budget,
                      JobIndex& index, const std::vector<MachineType>& types)
-    : part_(part), facts_(facts), policy_(policy), index_(index), claim_(now, part, authority),
-      table_(table), holdings_(claim_, table), calls_(budget, (claim_.term() << 32) + 1),
-      types_(types),
+    : PartTables(now, part, facts, policy, authority, table, budget, types), index_(index),
       roster_({part_key(part), claim_.term()}, facts_, calls_,
               [this](Time at, const CallReply& reply, const std::vector<std::string>& names) {
                   on_roster(at, reply, names);
               }),
-      jobs_(chunk_tasks(facts)), machines_(facts.lease_s, facts.lease_s * kMargin),
-      teams_(facts.teams), gangs_(facts.gang_wait_s), fleet_(facts, policy, claim_.term()),
       order_(
           facts_, policy_, jobs_, teams_,
           [this](Time at, const Job& job) { return waits(at, job); },
@@ -39,10 +28,13 @@
       renting_(claim_, facts_, holdings_, types_, machines_, fleet_, demand_, calls_, *this),
       accounts_(claim_, facts_, machines_, calls_, *this),
       lending_(claim_, facts_, holdings_, machines_, order_, demand_, calls_, *this),
-      borrowing_(claim_, facts_, policy_, table_, holdings_, jobs_, teams_, gangs_, order_, demand_,
+      borrowing_(claim_, facts_, policy_, table, holdings_, jobs_, teams_, gangs_, order_, demand_,
                  calls_, *this),
-      mover_(claim_, facts_, table_, holdings_, calls_, *this), balance_(facts_),
-      postbox_(claim_, facts_, table_, calls_, *this), watched_at_(now) {
+      postbox_(claim_, facts_, table, lending_, borrowing_, calls_, *this),
+      shares_(claim_, facts_, table, holdings_, types_, fleet_,
+              {machines_, slots_, roster_, accounts_, lending_, borrowing_, demand_}, calls_,
+              *this),
+      watched_at_(now) {
     load(now, kJobs, "");
 }
 
@@ -392,13 +384,6 @@
     borrowing_.call(now);
 }
 
-void PartOwner::take_posted(Time now, int part, const ExchangeReply& reply) {
-    borrowing_.take_posted(now, part, reply);
-    settle(now);
-    place(now);
-    send_orders(now);
-}
-
 void PartOwner::serve(Time now) {
     place(now);
     press(now);
@@ -424,7 +409,15 @@
     }
 }
 
-void PartOwner::after_release(Time now) {
+void PartOwner::release(Time now, std::vector<std::string> names) {
+    renting_.release(now, std::move(names));
+}
+
+int PartOwner::unanswered() const {
+    return std::max({unanswered_, borrowing_.unanswered(), accounts_.unanswered()});
+}
+
+void PartOwner::resume(Time now) {
     settle(now);
     place(now);
     send_orders(now);
@@ -486,7 +479,7 @@
         return;
     }
     auto count = [](double d) { return std::to_string(std::llround(d)); };
-    calls_.log(Level::info, "event=part_stats part=" + std::to_string(part_) +
+    calls_.log(Level::info, "event=part_stats part=" + std::to_string(claim_.part()) +
                                 " machines=" + std::to_string(up) + " slots=" + count(total) +
                                 " running=" + count(running) + " fetching=" + count(fetching) +
                                 " gathering=" + count(gathering) + " sent=" + count(sent) +
@@ -536,19 +529,19 @@
         log_stats(now);
     }
     if (renting_.due(now)) {
-        demand_.set_capacity(capacity, takes(now));
+        demand_.set_capacity(capacity, shares_.takes(now));
         Totals all = demand_.totals(now);
         order_.take_stock(now, all.ordinary_slots + all.spot_slots, all.demand.left_slot_s);
         renting_.run(now, accounts_.all_done() && now - claim_.since() > machines_.lease_bound_s());
         if (may_move) {
-            balance(now);
+            shares_.balance(now);
         }
     }
     place(now);
     press(now);
     send_orders(now);
     borrowing_.call(now);
-    mover_.tick(now);
+    shares_.tick(now);
     postbox_.tick(now);
 }
 
--- a/src/core/part_owner.h
+++ b/src/core/part_owner.h
@@ -2,27 +2,25 @@
 // where. It lives as long as the claim; losing the claim throws all of it away.
 //
 // It wires the classes that each do one thing: Accounts (takeover), Lending and Borrowing (slots
-// between parts), DemandBook and Renting (machines and money). What is left here is what needs all
-// of them: reports, placing, gangs, durable writes.
+// between parts), Postbox (listings by another road), ShareDesk (shares that come and go),
+// DemandBook and Renting (machines and money). What is left here is what needs all of them:
+// reports, placing, gangs, durable writes.
 #pragma once
 
-#include "core/accounts.h"
-#include "core/balance.h"
-#include "core/borrowing.h"
 #include "core/job_index.h"
-#include "core/lending.h"
-#include "core/mover.h"
+#include "core/part_tables.h"
 #include "core/postbox.h"
 #include "core/renting.h"
-#include "core/roster.h"
+#include "core/share_desk.h"
 
 namespace orchidlanding {
 
-class PartOwner : Renting::Part,
+class PartOwner : PartTables,
+                  Renting::Part,
                   Accounts::Part,
                   Lending::Part,
                   Borrowing::Part,
-                  Mover::Part,
+                  ShareDesk::Part,
                   Postbox::Part {
   public:
     PartOwner(Time now, int part, const Facts& facts, const Policy& policy,
@@ -33,28 +31,24 @@
     // `capacity`: of the node's processor. `may_move`: the state service answers.
     void tick(Time now, double capacity, bool may_move);
     // The node has read the map of shares.
-    void follow(Time now);
+    void follow(Time now) { shares_.follow(now); }
     // Gives the share to another part, if it is this one's to give.
-    bool give(Time now, const ShareId& share, int to) { return mover_.begin(now, share, to); }
+    bool give(Time now, const ShareId& share, int to) { return shares_.give(now, share, to); }
     // The owner of the other part does not answer this one's calls.
     bool silent(int part) const { return borrowing_.silent(part); }
     bool holds(const ShareId& share) const { return holdings_.find(share) != nullptr; }
-    std::vector<ShareId> shares() const;
+    const std::map<ShareId, Holdings::Share>& shares() const { return holdings_.all(); }
     bool answered(Time now, CallReply& reply) { return calls_.answered(now, reply); }
     void take(Outputs& out) { calls_.take(out); }
-    // Machines that have reported and not lapsed since.
     std::size_t reporting() const { return machines_.reporting(); }
     // Direct commands to workers without an answer since the last that had one.
-    int unanswered() const {
-        return std::max({unanswered_, borrowing_.unanswered(), accounts_.unanswered()});
-    }
+    int unanswered() const;
     // Machines and jobs looked at so far: what grows with the fleet must not grow with each report.
     std::uint64_t effort() const { return effort_ + lending_.effort() + demand_.effort(); }
     // The owner of another part asks for slots for its tasks, as the owner of their jobs.
     void exchange(Time now, RequestId request, const Exchange& in);
     // Tasks done and running of an open job, for display.
     bool counts(const std::string& job, std::uint32_t& done, std::uint32_t& running);
-    // The claim turned out to be gone (a write was refused).
     bool deposed() const { return claim_.deposed(); }
     // All jobs cancelled up to then are known here.
     Time complete_to() const { return watched_at_; }
@@ -65,7 +59,7 @@
     // Reading what is durable, and what is not known yet (takeover.cpp).
     void load(Time now, std::string prefix, std::string after);
     void loaded(Time now, const std::string& prefix);
-    void read_rosters(Time now);
+    void read_rosters(Time now) override;
     void begin_work(Time now);
     void take_record(Time now, const KeyedRecord& item);
     void take_job(Time now, const KeyedRecord& item);
@@ -74,13 +68,10 @@
     void settle(Time now) override;
     bool all_accounted() const;
     void count_doubtful();
-    void gain(Time now, const ShareId& share);
-    void balance(Time now);
-    bool takes(Time now) const;
 
     // Machines and what is placed on them.
     void apply(Time now, Machine& machine, const Report& report, CallId orders) override;
-    void gone(Time now, const std::string& machine, const ListingResult::Gone& gone);
+    void gone(Time now, const std::string& machine, const ListingResult::Gone& gone) override;
     bool account(Time now, const TaskRef& task, ExitWhy why, const std::string& zone);
     void adopt_listed(Time now, Machine& machine);
     void adopt_own(Time now, Machine& machine, const ListedTask& task);
@@ -143,55 +134,27 @@
     void ended_there(Time now, const TaskRef& task, ExitWhy why, const std::string& zone) override;
     void found_done(Time now, Job& job, std::uint32_t task) override;
     bool settled() const override { return settled_; }
-    void inventoried(Time now) override { settle(now); }
     void after_reply(Time now) override;
     void serve(Time now) override;
     void expect(Time now, const Bought& bought) override { renting_.expect(now, bought); }
-    void take_given(Time now, const Given& given) override;
-    void tell_given(int to, const Given& given) override;
-    std::uint64_t heard_from(int part) const override { return lending_.heard_from(part); }
-    std::optional<ExchangeReply> listing_for(Time now, int part, std::uint64_t term) override {
-        return lending_.listing_for(now, part, term);
-    }
-    void take_posted(Time now, int part, const ExchangeReply& reply) override;
+    void take_given(Time now, const Given& given) override { shares_.take(now, given); }
     bool awaits_listings() const override { return loaded_ && !settled_; }
-    bool still(const ShareId& share) const override;
-    void relist(const ShareId& share) override;
-    void list_again(const ShareId& share) override;
-    void hand_on(Time now, const ShareId& share, int to) override;
     void released(Time now, const std::string& machine) override;
-    void after_release(Time now) override;
+    void resume(Time now) override;
     bool owes_ends(Time now, const Machine& machine) const override;
     bool all_heard() const override { return lending_.called_by_all(); }
-    void release(Time now, std::vector<std::string> machines) override {
-        renting_.release(now, std::move(machines));
-    }
+    void release(Time now, std::vector<std::string> machines) override;
 
-    int part_;
-    Facts facts_;
-    Policy policy_;
     JobIndex& index_; // the node's, told of each job record that this owner sees
-    Claim claim_;
-    PartTable& table_; // the node's, told of moves before they are read
-    Holdings holdings_;
-    Calls calls_;
-    MachineTypes types_;
     Roster roster_;
-    JobStore jobs_;
-    MachineTable machines_;
-    SlotLists slots_;
-    Teams teams_;
-    Gangs gangs_;
-    Fleet fleet_;
     WaitingOrder order_;
     DemandBook demand_;
     Renting renting_;
     Accounts accounts_;
     Lending lending_;
     Borrowing borrowing_;
-    Mover mover_;
-    Balance balance_;
     Postbox postbox_;
+    ShareDesk shares_;
     int unanswered_ = 0;
     mutable std::uint64_t effort_ = 0;
     std::optional<Gathering> gathering_;
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -78,7 +78,7 @@
     if (!found) {
         return false;
     }
-    start_on(now, *machines_.find(*found), job, index, claim_.new_attempt(part_, false));
+    start_on(now, *machines_.find(*found), job, index, claim_.new_attempt(claim_.part(), false));
     return true;
 }
 
@@ -224,7 +224,7 @@
                 lending_.lend(now, m, c->thief, *c->want);
             } else {
                 start_on(now, m, *c->job, c->job->waiting.first(),
-                         claim_.new_attempt(part_, false));
+                         claim_.new_attempt(claim_.part(), false));
             }
         }
     }
--- a/src/core/postbox.cpp
+++ b/src/core/postbox.cpp
@@ -20,9 +20,10 @@
 constexpr std::size_t kShareBytes = 32;
 } // namespace
 
-Postbox::Postbox(Claim& claim, const Facts& facts, const PartTable& table, Calls& calls,
-                 Part& owner)
-    : claim_(claim), facts_(facts), table_(table), calls_(calls), owner_(owner) {}
+Postbox::Postbox(Claim& claim, const Facts& facts, const PartTable& table, Lending& lending,
+                 Borrowing& borrowing, Calls& calls, Part& owner)
+    : claim_(claim), facts_(facts), table_(table), lending_(lending), borrowing_(borrowing),
+      calls_(calls), owner_(owner) {}
 
 std::string Postbox::key(int part, int holder, std::size_t page) {
     return kPrefix + std::to_string(part) + "/" + std::to_string(holder) + "/" +
@@ -52,12 +53,12 @@
         if (p.term != term) {
             p = {term, now, {}, 0, false};
         }
-        bool unheard = owner_.heard_from(part) < term || !p.pages.empty();
+        bool unheard = lending_.heard_from(part) < term || !p.pages.empty();
         if (p.done || !unheard || now - p.since < kPatienceReports * facts_.report_s) {
             continue;
         }
         if (p.pages.empty()) {
-            if (auto reply = owner_.listing_for(now, part, term)) {
+            if (auto reply = lending_.listing_for(now, part, term)) {
                 p.pages = cut(*reply, term);
             }
         }
@@ -179,7 +180,8 @@
         calls_.log(Level::info, "event=account_read part=" + std::to_string(claim_.part()) +
                                     " holder=" + std::to_string(holder) +
                                     " tasks=" + std::to_string(reply.held.size()));
-        owner_.take_posted(now, holder, reply);
+        borrowing_.take_posted(now, holder, reply);
+        owner_.resume(now);
     }
 }
 
--- a/src/core/postbox.h
+++ b/src/core/postbox.h
@@ -4,8 +4,8 @@
 // go through again. See "While peers refuse calls" in docs/shares.md.
 #pragma once
 
-#include "core/claim.h"
-#include "core/part_table.h"
+#include "core/borrowing.h"
+#include "core/lending.h"
 
 namespace orchidlanding {
 
@@ -13,17 +13,13 @@
   public:
     struct Part { // what it needs of the part it works for
         virtual ~Part() = default;
-        // The latest term under which the owner of the part has called.
-        virtual std::uint64_t heard_from(int part) const = 0;
-        // The whole listing for it, as if it had called; none while it would not be complete.
-        virtual std::optional<ExchangeReply> listing_for(Time now, int part,
-                                                         std::uint64_t term) = 0;
-        // A listing that another holder has written for us.
-        virtual void take_posted(Time now, int part, const ExchangeReply& reply) = 0;
         // Older tasks wait for listings of others.
         virtual bool awaits_listings() const = 0;
+        // A listing has been taken in: what waited for it may be placed.
+        virtual void resume(Time now) = 0;
     };
-    Postbox(Claim& claim, const Facts& facts, const PartTable& table, Calls& calls, Part& owner);
+    Postbox(Claim& claim, const Facts& facts, const PartTable& table, Lending& lending,
+            Borrowing& borrowing, Calls& calls, Part& owner);
 
     void tick(Time now);
 
@@ -46,6 +42,8 @@
     Claim& claim_;
     const Facts& facts_;
     const PartTable& table_;
+    Lending& lending_;
+    Borrowing& borrowing_;
     Calls& calls_;
     Part& owner_;
     std::map<int, Posting> postings_;
--- a/src/core/renting.cpp
+++ b/src/core/renting.cpp
@@ -104,7 +104,7 @@
             fleet_.released(at, name);
             owner_.released(at, name);
         }
-        owner_.after_release(at);
+        owner_.resume(at);
     });
 }
 
--- a/src/core/renting.h
+++ b/src/core/renting.h
@@ -14,7 +14,7 @@
         virtual void relist(Machine& machine) = 0;
         // The machine is gone and everything on it; it is in no table any more when this returns.
         virtual void released(Time now, const std::string& machine) = 0;
-        virtual void after_release(Time now) = 0;
+        virtual void resume(Time now) = 0;
         // Its tasks' ends have not been told to the owners of their jobs yet.
         virtual bool owes_ends(Time now, const Machine& machine) const = 0;
         // Have the owners of all other parts said what they have?
--- a/src/core/moving.cpp
+++ b/src/core/share_desk.cpp
@@ -1,8 +1,6 @@
-// The owner of a part and the shares of machines that come and go. See docs/shares.md.
-#include <algorithm>
-#include <utility>
+#include "core/share_desk.h"
 
-#include "core/part_owner.h"
+#include <algorithm>
 
 namespace orchidlanding {
 
@@ -11,15 +9,14 @@
 constexpr double kHears = 0.75;       // of its machines, at least: then an owner hears them
 } // namespace
 
-std::vector<ShareId> PartOwner::shares() const {
-    std::vector<ShareId> out;
-    for (const auto& [id, share] : holdings_.all()) {
-        out.push_back(id);
-    }
-    return out;
-}
+ShareDesk::ShareDesk(const Claim& claim, const Facts& facts, PartTable& table, Holdings& holdings,
+                     const MachineTypes& types, const Fleet& fleet, MachineBooks books,
+                     Calls& calls, Part& owner)
+    : claim_(claim), facts_(facts), table_(table), holdings_(holdings), types_(types),
+      fleet_(fleet), books_(books), calls_(calls), owner_(owner),
+      mover_(claim, facts, table, holdings, calls, *this), balance_(facts) {}
 
-void PartOwner::follow(Time now) {
+void ShareDesk::follow(Time now) {
     Holdings::News news = holdings_.follow(now);
     for (const auto& [share, to] : news.lost) {
         mover_.lost(share);
@@ -28,68 +25,68 @@
     for (const auto& share : news.gained) {
         gain(now, share);
     }
-    read_rosters(now);
+    owner_.read_rosters(now);
     mover_.tick(now);
 }
 
 // What runs there is not known yet: our own tasks among it stand as borrowed until its machines
 // have listed them.
-void PartOwner::gain(Time now, const ShareId& share) {
-    accounts_.begin(now, share);
-    borrowing_.came_home(share, holdings_.term(share));
-    if (loaded_) {
+void ShareDesk::gain(Time now, const ShareId& share) {
+    books_.accounts.begin(now, share);
+    books_.borrowing.came_home(share, holdings_.term(share));
+    if (holdings_.find(share)->since > claim_.since()) {
         calls_.log(Level::info, "event=share_gained share=" + text_of(share) +
-                                    " part=" + std::to_string(part_) +
+                                    " part=" + std::to_string(claim_.part()) +
                                     " term=" + std::to_string(holdings_.term(share)));
     }
 }
 
-void PartOwner::take_given(Time now, const Given& given) {
+void ShareDesk::take(Time now, const Given& given) {
     if (holdings_.take(now, given)) {
-        table_.moved(given.share, part_, given.revision);
+        table_.moved(given.share, claim_.part(), given.revision);
         gain(now, given.share);
-        read_rosters(now);
+        owner_.read_rosters(now);
     }
 }
 
-void PartOwner::tell_given(int to, const Given& given) {
+void ShareDesk::tell_given(int to, const Given& given) {
     table_.moved(given.share, to, given.revision);
-    borrowing_.tell_given(to, given);
+    books_.borrowing.tell_given(to, given);
 }
 
-void PartOwner::hand_on(Time now, const ShareId& share, int to) {
-    accounts_.end(share);
-    lending_.uncover(share);
+void ShareDesk::hand_on(Time now, const ShareId& share, int to) {
+    books_.accounts.end(share);
+    books_.lending.uncover(share);
     std::vector<std::string> names;
-    for (const auto& [name, m] : machines_.all()) {
+    for (const auto& [name, m] : books_.machines.all()) {
         if (m.share == share) {
             names.push_back(name);
         }
     }
     for (const auto& name : names) {
-        Machine& m = *machines_.find(name);
-        for (const auto& g : machines_.unqueue(m)) { // they have not gone out
-            gone(now, name, g);
+        Machine& m = *books_.machines.find(name);
+        for (const auto& g : books_.machines.unqueue(m)) { // they have not gone out
+            owner_.gone(now, name, g);
         }
         if (m.session == 0 && !m.on_roster && !m.roster_write) {
             // Not up yet: named to the taker, or it would be rented once more.
-            demand_.buy(m.known_since, name, {"", m.type.name, m.zone, m.spot, 1});
+            books_.demand.buy(m.known_since, name, {"", m.type.name, m.zone, m.spot, 1});
         }
         for (const auto& [task, p] : m.tasks) {
             if (claim_.ours(p.attempt)) {
-                borrowing_.sent_away(task, {p.attempt, to, name, m.zone, share, m.term});
+                books_.borrowing.sent_away(task, {p.attempt, to, name, m.zone, share, m.term});
             }
         }
-        roster_.forget(name);
-        lending_.forget(m);
-        slots_.forget(name);
-        machines_.remove(name);
+        books_.roster.forget(name);
+        books_.lending.forget(m);
+        books_.slots.forget(name);
+        books_.machines.remove(name);
     }
-    demand_.stale();
+    books_.demand.stale();
 }
 
-bool PartOwner::still(const ShareId& share) const {
-    for (const auto& [name, m] : machines_.all()) {
+bool ShareDesk::still(const ShareId& share) const {
+    for (const auto& [name, m] : books_.machines.all()) {
         bool moves = m.share == share &&
                      (m.orders != 0 || m.releasing || !m.lots.empty() || !m.outbox.empty() ||
                       std::any_of(m.tasks.begin(), m.tasks.end(), [](const auto& t) {
@@ -102,41 +99,40 @@
     return true;
 }
 
-void PartOwner::relist(const ShareId& share) {
-    for (auto& [name, m] : machines_.all()) {
+void ShareDesk::relist(const ShareId& share) {
+    for (auto& [name, m] : books_.machines.all()) {
         if (m.share == share) {
-            relist(m);
+            owner_.relist(m);
         }
     }
 }
 
-void PartOwner::list_again(const ShareId& share) {
-    if (accounts_.done(share)) {
-        lending_.cover(share);
+void ShareDesk::list_again(const ShareId& share) {
+    if (books_.accounts.done(share)) {
+        books_.lending.cover(share);
     }
 }
 
-// Can it be given a share? Not while it has one to account for, nor when it does not hear the
-// machines that it has: such an owner looks as if it had little to do.
-bool PartOwner::takes(Time now) const {
-    if (!settled_ || !accounts_.all_done()) {
+bool ShareDesk::takes(Time now) const {
+    if (!owner_.settled() || !books_.accounts.all_done()) {
         return false;
     }
     std::size_t heard = 0;
-    for (const auto& [name, m] : machines_.all()) {
+    for (const auto& [name, m] : books_.machines.all()) {
         heard += m.reported && now - m.last_report < kHeardReports * facts_.report_s;
     }
-    return static_cast<double>(heard) >= kHears * static_cast<double>(machines_.reporting());
+    return static_cast<double>(heard) >= kHears * static_cast<double>(books_.machines.reporting());
 }
 
-void PartOwner::balance(Time now) {
+void ShareDesk::balance(Time now) {
     // Before the part has settled, and its peers have been heard, nothing is known well enough.
-    if (mover_.busy() || !settled_ || now - claim_.since() < facts_.lease_s || types_.empty()) {
+    if (mover_.busy() || !owner_.settled() || now - claim_.since() < facts_.lease_s ||
+        types_.empty()) {
         return;
     }
-    const FleetView& own = demand_.standing(now).fleet;
-    std::vector<PartLoad> parts{{part_, own.slots(), own.capacity, false}};
-    for (const auto& [part, peer] : demand_.peers()) {
+    const FleetView& own = books_.demand.standing(now).fleet;
+    std::vector<PartLoad> parts{{claim_.part(), own.slots(), own.capacity, false}};
+    for (const auto& [part, peer] : books_.demand.peers()) {
         const PartTable::Part& p = table_.at(part);
         bool home = p.node == facts_.parts[static_cast<std::size_t>(part)].node;
         parts.push_back({part, peer.fleet.slots(), peer.fleet.capacity,
@@ -144,9 +140,9 @@
     }
     std::map<ShareId, ShareLoad> loads;
     for (const auto& [id, share] : holdings_.all()) {
-        loads[id] = {id, 0, accounts_.done(id) && table_.readable(id.home)};
+        loads[id] = {id, 0, books_.accounts.done(id) && table_.readable(id.home)};
     }
-    for (const auto& [name, m] : machines_.all()) {
+    for (const auto& [name, m] : books_.machines.all()) {
         if (fleet_.usable(now, m)) {
             loads[m.share].slots += m.type.slots();
         }
@@ -159,7 +155,7 @@
     for (const auto& t : types_.all()) {
         largest = std::max(largest, t.slots());
     }
-    auto choice = balance_.choose(now, part_, parts, shares, largest);
+    auto choice = balance_.choose(now, claim_.part(), parts, shares, largest);
     if (choice && mover_.begin(now, choice->share, choice->to)) {
         balance_.began(now);
     }
--- a/src/core/takeover.cpp
+++ b/src/core/takeover.cpp
@@ -80,7 +80,7 @@
         return;
     }
     loaded_ = true;
-    calls_.log(Level::info, "event=part_loaded part=" + std::to_string(part_) +
+    calls_.log(Level::info, "event=part_loaded part=" + std::to_string(claim_.part()) +
                                 " term=" + std::to_string(claim_.term()) +
                                 " jobs=" + std::to_string(jobs_.all().size()) +
                                 " shares=" + std::to_string(holdings_.all().size()) +
@@ -121,7 +121,7 @@
         calls_.log(Level::error, "event=unreadable_record key=" + item.key);
         return;
     }
-    if (record->spec && part_of_team(facts_, record->spec->team) != part_) {
+    if (record->spec && part_of_team(facts_, record->spec->team) != claim_.part()) {
         if (record->outcome == Outcome::cancelled) {
             jobs_.final(id, Outcome::cancelled); // its guests here are to stop
         }
@@ -221,7 +221,7 @@
         borrowing_.gone_with(now, share);
         if (Time since = holdings_.find(share)->since; since > claim_.since()) {
             calls_.log(Level::info, "event=share_accounted share=" + text_of(share) +
-                                        " part=" + std::to_string(part_) +
+                                        " part=" + std::to_string(claim_.part()) +
                                         " took_s=" + std::to_string(now - since));
         }
     }
@@ -231,7 +231,7 @@
     if (all_accounted()) {
         settled_ = true;
         count_doubtful();
-        calls_.log(Level::info, "event=part_settled part=" + std::to_string(part_) +
+        calls_.log(Level::info, "event=part_settled part=" + std::to_string(claim_.part()) +
                                     " term=" + std::to_string(claim_.term()));
         std::vector<std::string> ids;
         for (const auto& [id, job] : jobs_.all()) {
--- a/tests/borrowing_test.cpp
+++ b/tests/borrowing_test.cpp
@@ -73,7 +73,7 @@
     bool want_gang(const Job&, bool, Want&) override { return false; }
     void use_gang_grants(Time, int, const std::vector<Grant>&) override {}
     void end_attempt(Time, const std::string&, bool) override {}
-    void inventoried(Time) override {}
+    void settle(Time) override {}
     void after_reply(Time) override {}
 
     // The next calls; the reply of one part to its own.
