A late call, a second slot of one name and an old listing start no gang task twice

(1) A call that came late gave back slots that were handed over since: calls are numbered, and one older than the last is refused. (2) A lender handed a slot over again that its thief held already, under the same name, as the tasks of a gang's attempt share its number; the thief gave the second one back, and the task on the first was taken for gone: an open slot is not handed over again, and the slot in use is not given back.

--- a/src/core/borrowing.cpp
+++ b/src/core/borrowing.cpp
@@ -108,7 +108,7 @@
     out.term = claim_.term();
     out.to = part;
     order_.get(now); // due times
-    ++peer.calls;
+    out.number = ++peer.calls;
     if (now >= peer.want_again) {
         out.wants = wants_for(now, peer);
     }
@@ -209,6 +209,7 @@
         return;
     }
     peer.heard_term = reply.term;
+    peer.answered_term = reply.term;
     demand_.heard(now, part, reply.demand, reply.fleet);
     reconcile(now, part, peer, reply);
     std::map<std::uint64_t, std::vector<Grant>> gangs;
@@ -229,7 +230,7 @@
 
 void Borrowing::take_posted(Time now, int part, const ExchangeReply& reply) {
     Peer& peer = peers_.at(part);
-    if (reply.term >= peer.heard_term) {
+    if (reply.term >= peer.heard_term && reply.term != peer.answered_term) {
         peer.heard_term = reply.term;
         reconcile(now, part, peer, reply);
     }
@@ -520,6 +521,11 @@
 }
 
 void Borrowing::give_back(int part, const Grant& g) {
+    auto used = remote_.find({g.job, g.id.index});
+    if ((g.id.attempt & kGangBit) != 0 && used != remote_.end() &&
+        used->second.attempt == g.id.attempt && used->second.machine == g.machine) {
+        return; // the very slot that the task was started on
+    }
     tell(peers_.at(part), {Told::What::back, g.machine, g.id});
 }
 
--- a/src/core/borrowing.h
+++ b/src/core/borrowing.h
@@ -50,7 +50,8 @@
     void call(Time now);
     // All peers are to be called at once: one may have slots where we have none.
     void call_soon();
-    // A listing of another part's owner that came by another way than a call.
+    // A listing of another part's owner that came by another way than a call. It counts only until
+    // a call of ours was answered: it may be older than the slots that came with the answer.
     void take_posted(Time now, int part, const ExchangeReply& reply);
     // Its holder has accounted for our tasks on the machines of the share.
     bool inventoried(const ShareId& share) const { return inventoried_.contains(share); }
@@ -89,7 +90,8 @@
         int unanswered = 0; // calls in a row
         Time next = 0;
         std::uint64_t heard_term = 0;
-        std::size_t tasks = 0; // of ours, there
+        std::uint64_t answered_term = 0; // its owner has answered a call under it
+        std::size_t tasks = 0;           // of ours, there
         double batch = 0;
         std::uint64_t calls = 0;
         Time want_again = 0; // slots that it gave us went back: nothing is asked for until then
--- a/src/core/gang_placing.cpp
+++ b/src/core/gang_placing.cpp
@@ -173,8 +173,9 @@
         if (zone_ok && job->waiting.contains(g.id.index) && borrowing_.grant_suits(*job, g) &&
             held.emplace(g.id.index, std::pair(part, g)).second) {
             ++in_zone[g.zone];
-        } else {
-            borrowing_.give_back(part, g);
+        } else if (auto same = held.find(g.id.index);
+                   same == held.end() || same->second.second.machine != g.machine) {
+            borrowing_.give_back(part, g); // but not the very slot that is held
         }
     }
     if (!ok) {
--- a/src/core/io.h
+++ b/src/core/io.h
@@ -100,6 +100,7 @@
 struct Exchange {
     int from = 0;
     std::uint64_t term = 0;
+    std::uint64_t number = 0; // of the call, under that term; 0: the caller does not count them
     int to = 0;
     std::vector<Want> wants;
     std::uint32_t most = 0; // slots taken in all
--- a/src/core/lending.cpp
+++ b/src/core/lending.cpp
@@ -73,8 +73,15 @@
         calls_.answer(request, 409, Plain{"a later owner has called"});
         return;
     }
+    // A call that comes late would give back slots that were handed over since: the tasks of a
+    // gang's attempt share its number, so a slot may come to have the name of one that went back.
+    if (in.term == thief.called && in.number != 0 && in.number <= thief.number) {
+        calls_.answer(request, 409, Plain{"a later call has come"});
+        return;
+    }
     know_term(now, thief, in.term);
     thief.called = in.term;
+    thief.number = in.number;
     for (const auto& told : in.told) {
         if (Machine* m = machines_.find(told.machine)) {
             take_told(*m, told, in.from);
@@ -296,6 +303,13 @@
 
 void Lending::lend(Time now, Machine& m, int thief, Want& want, std::uint32_t member) {
     Thief& to = thieves_.at(thief);
+    if (want.attempt != 0 && m.lots.contains(start_id(want.attempt, member))) {
+        // Handed over already: the thief holds it, or has not heard of it and will when it is
+        // fenced. A second one of the same name could be given back, and the task on the first
+        // taken for gone.
+        --want.count;
+        return;
+    }
     Lot lot;
     lot.thief = thief;
     lot.thief_term = to.term;
--- a/src/core/lending.h
+++ b/src/core/lending.h
@@ -63,6 +63,7 @@
     struct Thief {
         std::uint64_t term = 0;   // the latest that is known of
         std::uint64_t called = 0; // ... and that it has called under
+        std::uint64_t number = 0; // of that call
         std::uint64_t acked = 0;  // the version of our listing that it has taken in
         std::vector<Want> wants;
         Time wants_at = 0;
--- a/src/wire/exchange.cpp
+++ b/src/wire/exchange.cpp
@@ -101,6 +101,7 @@
     Exchange e;
     e.from = static_cast<int>(f.integer("from"));
     e.term = f.integer("term");
+    e.number = f.get("number") ? f.integer("number") : 0; // a node of the version before
     e.to = static_cast<int>(f.integer("to"));
     for (const auto* item : f.list("wants")) {
         Fields w(*item);
@@ -170,7 +171,8 @@
 } // namespace
 
 void pack_exchange(Packer& p, const Exchange& e) {
-    p.pack_map(10 + kStandingFields);
+    p.pack_map(11 + kStandingFields);
+    field(p, "number", e.number);
     key(p, "given");
     p.pack_array(static_cast<std::uint32_t>(e.given.size()));
     for (const auto& g : e.given) {
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -221,11 +221,13 @@
     Exchange e = asks_for_a_gang();
     e.given = {{{3, 7}, 1000000007, 55}};
     e.fleet = {320, 64, 0.25, true};
+    e.number = 4;
     Exchange got = wire::parse_exchange(wire::encode_call(PeerCall{"n1", e}).body);
     ASSERT_EQ(got.given.size(), 1u);
     EXPECT_EQ(got.given[0].share, (ShareId{3, 7}));
     EXPECT_EQ(got.given[0].revision, 1000000007u);
     EXPECT_EQ(got.given[0].term, 55u);
+    EXPECT_EQ(got.number, 4u);
     EXPECT_EQ(got.fleet.capacity, 0.25);
     EXPECT_TRUE(got.fleet.takes);
     ExchangeReply r;
