--- a/src/core/borrowing.cpp
+++ b/src/core/borrowing.cpp
@@ -149,7 +149,6 @@
         [this, part, asked, told, bought, given = peer.given.size()](Time at, CallReply& reply) {
             Peer& p = peers_.at(part);
             p.in_flight = false;
-            p.unanswered = reply.status == 0 ? p.unanswered + 1 : 0;
             if (reply.status != 200 || !reply.exchange || !claim_.usable(at)) {
                 return;
             }
--- a/src/core/borrowing.h
+++ b/src/core/borrowing.h
@@ -77,17 +77,10 @@
     void gone_with(Time now, const ShareId& share);
     // Starts without an answer since the last that had one.
     int unanswered() const { return unanswered_; }
-    // The part's owner does not answer our calls.
-    bool silent(int part) const {
-        auto peer = peers_.find(part);
-        return peer != peers_.end() && peer->second.unanswered >= kSilentCalls;
-    }
 
   private:
-    static constexpr int kSilentCalls = 2;
     struct Peer {
         bool in_flight = false;
-        int unanswered = 0; // calls in a row
         Time next = 0;
         std::uint64_t heard_term = 0;
         std::uint64_t answered_term = 0; // its owner has answered a call under it
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -158,11 +158,7 @@
         return;
     }
     const std::string node = part < 0 ? "" : table_.at(part).node;
-    // Sent to a node that is gone, a worker would lose there a good part of the lease that it has
-    // left; unsent, it asks the others one after the other.
-    bool silent = std::any_of(owners_.begin(), owners_.end(),
-                              [&](const auto& owner) { return owner.second->silent(part); });
-    calls_.answer(in.request, 421, Redirect{node == facts_.node || silent ? "" : node});
+    calls_.answer(in.request, 421, Redirect{node == facts_.node ? "" : node});
 }
 
 void Controller::on_exchange(Time now, const PeerExchange& in) {
--- a/src/core/part_owner.h
+++ b/src/core/part_owner.h
@@ -34,8 +34,6 @@
     void follow(Time now) { shares_.follow(now); }
     // Gives the share to another part, if it is this one's to give.
     bool give(Time now, const ShareId& share, int to) { return shares_.give(now, share, to); }
-    // The owner of the other part does not answer this one's calls.
-    bool silent(int part) const { return borrowing_.silent(part); }
     bool holds(const ShareId& share) const { return holdings_.find(share) != nullptr; }
     const std::map<ShareId, Holdings::Share>& shares() const { return holdings_.all(); }
     bool answered(Time now, CallReply& reply) { return calls_.answered(now, reply); }
--- a/tests/share_test.cpp
+++ b/tests/share_test.cpp
@@ -779,8 +779,7 @@
     EXPECT_TRUE(w.broken.empty()) << w.broken.front();
 }
 
-// A lost controller's machines were sent back to it by the others until its lease was over, 4 s
-// each time: some lost their leases that way, and all that ran on them.
+// A lost controller's machines find their new holders before their leases end.
 TEST(ShareTakeover, NoTaskIsLostToTheLeasesOfALostControllersMachines) {
     WorldOptions options = five(14);
     options.run_s = 120;
