--- a/tests/borrowing_test.cpp
+++ b/tests/borrowing_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "core/borrowing.h"
+#include "core/lending.h"
 #include "core/parts.h"
 #include "policy/defaults.h"
 #include "world.h"
@@ -254,5 +255,96 @@
     EXPECT_FALSE(o.borrowing->inventoried({2, 0}));
 }
 
+// The owner of part 1 with one machine that a gang of part 0 has been handed a slot of.
+struct Lender : Lending::Part {
+    Facts facts = World({.nodes = 3}).facts(1);
+    Policy policy = policy::defaults(facts);
+    StateBudget budget{1000, 1000, 1};
+    Calls calls{budget, 1};
+    Authority authority{11};
+    PartTable table{facts};
+    JobStore jobs{1000};
+    MachineTable machines{facts.lease_s, 1};
+    Teams teams{facts.teams};
+    MachineTypes types{{{"m8", 8, 0, 32, 20, 1, 1, 0.4, 10, {"a", "b"}}}};
+    std::unique_ptr<Claim> claim;
+    std::unique_ptr<Holdings> holdings;
+    Fleet fleet{facts, policy, 5};
+    WaitingOrder order{facts,
+                       policy,
+                       jobs,
+                       teams,
+                       [](Time, const Job&) { return false; },
+                       [] { return std::vector<PeerWants>{}; }};
+    std::unique_ptr<DemandBook> demand;
+    std::unique_ptr<Lending> lending;
+    Machine* m = nullptr;
+    Want want;
+    std::uint64_t attempt = make_attempt(5, 1, 0, true);
+
+    Lender() {
+        authority.granted(1, 0);
+        authority.claimed(1, 6);
+        claim = std::make_unique<Claim>(0, 1, authority);
+        holdings = std::make_unique<Holdings>(*claim, table);
+        demand = std::make_unique<DemandBook>(*claim, facts, policy, types, jobs, teams, machines,
+                                              fleet);
+        lending = std::make_unique<Lending>(*claim, facts, *holdings, machines, order, *demand,
+                                            calls, *this);
+        m = &machines.add(0, "i-1", types.all()[0], "b", true, {1, 0}, 6);
+        want.job = "req-1";
+        want.kind = JobKind::gang;
+        want.attempt = attempt;
+        want.count = 1;
+        want.members = {0};
+        want.cpus = 2;
+    }
+    void relist(Machine&) override {}
+    void serve(Time) override {}
+    void expect(Time, const Bought&) override {}
+    void take_given(Time, const Given&) override {}
+    Answer call(std::uint64_t number, bool gives_back) {
+        Exchange e;
+        e.from = 0;
+        e.term = 5;
+        e.to = 1;
+        e.number = number;
+        e.most = 4;
+        if (gives_back) {
+            e.told.push_back({Told::What::back, "i-1", {attempt, 0}});
+        }
+        lending->exchange(1, 9, e);
+        Outputs out;
+        calls.take(out);
+        return out.answers.at(0);
+    }
+};
+
+// The tasks of a gang's attempt share its number, so a slot may come to have the name of one that
+// went back: a call that comes late would give it back while its task starts.
+TEST(ShareLending, ACallThatComesLateGivesNothingBack) {
+    Lender l;
+    EXPECT_EQ(l.call(1, false).status, 200);
+    EXPECT_EQ(l.call(3, false).status, 200);
+    l.lending->lend(1, *l.m, 0, l.want);
+    ASSERT_EQ(l.m->lots.size(), 1u);
+    EXPECT_EQ(l.call(2, true).status, 409);
+    EXPECT_EQ(l.call(3, true).status, 409); // nor one that comes twice
+    EXPECT_EQ(l.m->lots.size(), 1u);
+    EXPECT_EQ(l.call(4, true).status, 200);
+    EXPECT_TRUE(l.m->lots.empty());
+}
+
+TEST(ShareLending, AnOpenSlotOfAGangIsNotHandedOverASecondTime) {
+    Lender l;
+    l.call(1, false);
+    l.lending->lend(1, *l.m, 0, l.want);
+    l.want.count = 1;
+    l.lending->lend(1, *l.m, 0, l.want);
+    EXPECT_EQ(l.want.count, 0u); // asked and answered
+    Answer a = l.call(2, false);
+    EXPECT_EQ(std::get<ExchangeReply>(a.body).grants.size(), 1u);
+}
+
 } // namespace
 } // namespace orchidlanding::test
