The list of all shares is made once for a claim; a count that nobody read is gone

While a part has not settled, each answer of a machine made the list of all shares anew. Mover's count of moves was read by nobody.

--- a/src/core/mover.cpp
+++ b/src/core/mover.cpp
@@ -88,7 +88,6 @@
                                     std::to_string(claim_.part()) + " to=" + std::to_string(to) +
                                     " took_s=" + std::to_string(now - m.since));
         move_.reset();
-        ++moved_;
         holdings_.gave(share, reply.revision);
         owner_.hand_on(now, share, to);
         owner_.tell_given(to, {share, reply.revision, term});
@@ -120,7 +119,6 @@
 void Mover::lost(const ShareId& share) {
     if (move_ && move_->share == share) {
         move_.reset();
-        ++moved_;
     }
 }
 
--- a/src/core/mover.h
+++ b/src/core/mover.h
@@ -31,7 +31,6 @@
     void tick(Time now);
     // The map says that the share is another's: the move is over.
     void lost(const ShareId& share);
-    std::uint64_t moved() const { return moved_; }
 
   private:
     struct Move {
@@ -55,7 +54,6 @@
     Calls& calls_;
     Part& owner_;
     std::optional<Move> move_;
-    std::uint64_t moved_ = 0;
 };
 
 } // namespace orchidlanding
--- a/src/core/part_tables.cpp
+++ b/src/core/part_tables.cpp
@@ -17,9 +17,9 @@
 PartTables::PartTables(Time now, int part, const Facts& facts, const Policy& policy,
                        const Authority& authority, const PartTable& table, StateBudget& budget,
                        const std::vector<MachineType>& types)
-    : facts_(facts), policy_(policy), claim_(now, part, authority), holdings_(claim_, table),
-      calls_(budget, (claim_.term() << 32) + 1), types_(types), jobs_(chunk_tasks(facts)),
-      machines_(facts.lease_s, facts.lease_s * kMargin), teams_(facts.teams),
-      gangs_(facts.gang_wait_s), fleet_(facts, policy, claim_.term()) {}
+    : facts_(facts), all_shares_(all_shares(facts)), policy_(policy), claim_(now, part, authority),
+      holdings_(claim_, table), calls_(budget, (claim_.term() << 32) + 1), types_(types),
+      jobs_(chunk_tasks(facts)), machines_(facts.lease_s, facts.lease_s * kMargin),
+      teams_(facts.teams), gangs_(facts.gang_wait_s), fleet_(facts, policy, claim_.term()) {}
 
 } // namespace orchidlanding
--- a/src/core/part_tables.h
+++ b/src/core/part_tables.h
@@ -19,6 +19,7 @@
                const std::vector<MachineType>& types);
 
     Facts facts_;
+    std::vector<ShareId> all_shares_; // of all parts
     Policy policy_;
     Claim claim_;
     Holdings holdings_;
--- a/src/core/takeover.cpp
+++ b/src/core/takeover.cpp
@@ -253,8 +253,7 @@
 }
 
 bool PartOwner::all_accounted() const {
-    auto shares = all_shares(facts_);
-    return std::all_of(shares.begin(), shares.end(), [&](const ShareId& share) {
+    return std::all_of(all_shares_.begin(), all_shares_.end(), [&](const ShareId& share) {
         return accounts_.done(share) || borrowing_.inventoried(share);
     });
 }
--- a/tests/share_test.cpp
+++ b/tests/share_test.cpp
@@ -452,6 +452,14 @@
     return best;
 }
 
+void cut_all_peers(World& w, bool cut) {
+    for (int a = 0; a < 5; ++a) {
+        for (int b = 0; b <= a; ++b) {
+            w.cut_peers(a, b, cut);
+        }
+    }
+}
+
 // The part that holds the share; -1: none that is owned now.
 int holder(const World& w, const ShareId& share) {
     for (int part = 0; part < 5; ++part) {
@@ -807,11 +815,7 @@
     w.submit(0, s);
     w.run_for(40);
     ASSERT_FALSE(w.all_done("req-1"));
-    for (int a = 0; a < 5; ++a) {
-        for (int b = 0; b < a; ++b) {
-            w.cut_peers(a, b, true);
-        }
-    }
+    cut_all_peers(w, true);
     int part = part_of_team(w.facts(0), "red");
     auto started = [&] {
         int n = 0;
@@ -828,11 +832,7 @@
     EXPECT_GT(started(), before);
     w.run_for(60);
     EXPECT_TRUE(w.broken.empty()) << w.broken.front();
-    for (int a = 0; a < 5; ++a) {
-        for (int b = 0; b < a; ++b) {
-            w.cut_peers(a, b, false);
-        }
-    }
+    cut_all_peers(w, false);
     w.run_for(300);
     EXPECT_TRUE(w.all_done("req-1"));
     EXPECT_TRUE(w.broken.empty()) << w.broken.front();
@@ -924,10 +924,8 @@
             for (int n = 0; n < kNodes; ++n) {
                 w.state_refuses(n, false);
                 w.cut_workers(n, false);
-                for (int to = 0; to < kNodes; ++to) {
-                    w.cut_peers(n, to, false);
-                }
             }
+            cut_all_peers(w, false);
             w.poll(any(kNodes), job);
         }
         ASSERT_TRUE(w.broken.empty()) << w.broken.front() << " at " << w.now();
@@ -936,10 +934,8 @@
     for (int n = 0; n < kNodes; ++n) {
         w.state_refuses(n, false);
         w.cut_workers(n, false);
-        for (int to = 0; to < kNodes; ++to) {
-            w.cut_peers(n, to, false);
-        }
     }
+    cut_all_peers(w, false);
     for (const auto& machine : w.machines_up()) {
         w.cut_machine(machine, false);
     }
