Machines that only waited to be asked are not released after a quick restart

Cause: a node that is back within a fraction of a second owns some 400 machines and asks all at once; the pool of direct calls has room for 380, and what it refused looked like no answer. Change: a reply says when a call never left the process; such count for nothing. Questions and direct commands keep to what the node can have under way. A start that never left gives its slot back at once. The queue to the state service takes what the budget lets go at once.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -56,9 +56,9 @@
     set_up_log();
     Controller core(settings.facts, policy::defaults(settings.facts));
     net::EventLoop* loop_pointer = nullptr;
-    net::Clients clients(
-        {settings.state, settings.cloud, settings.peers, settings.facts.report_s, settings.sockets},
-        [&](CallReply reply) { loop_pointer->push(std::move(reply)); });
+    net::Clients clients({settings.state, settings.cloud, settings.peers, settings.facts.report_s,
+                          settings.facts.orders_at_once, settings.facts.state_rps},
+                         [&](CallReply reply) { loop_pointer->push(std::move(reply)); });
     net::EventLoop loop(
         core, [&](const Call& call) { clients.send(call); }, write_log);
     loop_pointer = &loop;
--- a/src/cli/settings.cpp
+++ b/src/cli/settings.cpp
@@ -9,6 +9,11 @@
 
 namespace {
 
+// Direct commands at once: many machines may be silent at once, each holding a thread and a socket
+// until its time is up, and the others must not wait behind them.
+constexpr int kLeastOrders = 16;
+constexpr int kSocketsAnOrder = 40;
+
 class Reader {
   public:
     Reader(std::string file, const toml::table& root) : file_(std::move(file)), root_(root) {}
@@ -169,6 +174,7 @@
     s.facts.cloud_rps = r.positive("facts.cloud.rps");
     s.facts.list_lag_s = r.number("facts.cloud.list_lag_s");
     s.sockets = static_cast<int>(r.positive("facts.machine_limits.sockets"));
+    s.facts.orders_at_once = std::max(kLeastOrders, s.sockets / kSocketsAnOrder);
     return s;
 }
 
--- a/src/core/accounts.cpp
+++ b/src/core/accounts.cpp
@@ -26,8 +26,9 @@
     Share& s = shares_.at(share);
     s.read = true;
     for (const auto& name : s.open) {
-        probe(name, kProbes);
+        to_ask_.push_back({name, kProbes});
     }
+    ask();
 }
 
 std::vector<ShareId> Accounts::look(Time now) {
@@ -98,29 +99,48 @@
     }
 }
 
+// No more than may be under way at once: a question that has to wait in this process would look as
+// if the machine did not answer.
+void Accounts::ask() {
+    while (asking_ < facts_.orders_at_once && !to_ask_.empty()) {
+        Question question = std::move(to_ask_.front());
+        to_ask_.pop_front();
+        probe(question);
+    }
+}
+
 // An empty direct command under our token: its answer is a listing, and nothing that carries an
 // older token can come after it. The first answer may only tell the session.
-void Accounts::probe(const std::string& name, int tries) {
-    Machine* m = machines_.find(name);
-    if (!m || m->fenced || m->releasing || m->endpoint.empty() || tries == 0) {
+void Accounts::probe(const Question& question) {
+    Machine* m = machines_.find(question.machine);
+    if (!m || m->fenced || m->releasing || m->endpoint.empty()) {
         return;
     }
-    calls_.send(Orders{name, m->endpoint, m->token(), m->session, {}},
-                [this, name, tries](Time at, CallReply& reply) {
-                    Machine* machine = machines_.find(name);
+    ++asking_;
+    calls_.send(Orders{m->name, m->endpoint, m->token(), m->session, {}},
+                [this, question](Time at, CallReply& reply) {
+                    --asking_;
+                    Machine* machine = machines_.find(question.machine);
                     if (!machine || !claim_.usable(at)) {
                         return;
                     }
+                    if (reply.unsent) { // says nothing of the machine: asked again at the next tick
+                        to_ask_.push_back(question);
+                        return;
+                    }
                     unanswered_ = reply.status == 0 ? unanswered_ + 1 : 0;
                     machine->unanswered = reply.status == 0 ? machine->unanswered + 1 : 0;
-                    if (reply.report && reply.report->machine == name) {
+                    if (reply.report && reply.report->machine == question.machine) {
                         if (reply.report->session > machine->lapsed_session) {
                             machine->last_report = at;
                         }
                         owner_.apply(at, *machine, *reply.report, reply.call);
                     }
                     owner_.settle(at);
-                    probe(name, tries - 1);
+                    if (question.tries > 1) {
+                        to_ask_.push_back({question.machine, question.tries - 1});
+                    }
+                    ask();
                 });
 }
 
--- a/src/core/accounts.h
+++ b/src/core/accounts.h
@@ -4,6 +4,8 @@
 // "Takeover" in docs/design.md.
 #pragma once
 
+#include <deque>
+
 #include "core/claim.h"
 #include "core/machine_table.h"
 
@@ -33,6 +35,8 @@
     void seen(const Machine& machine);
     // The share's roster has been read: its machines are asked.
     void read(const ShareId& share);
+    // Asks those whose turn it is.
+    void ask();
     bool is_read(const ShareId& share) const { return shares_.at(share).read; }
     // Shares that are accounted for from now on.
     std::vector<ShareId> look(Time now);
@@ -47,7 +51,11 @@
     int unanswered() const { return unanswered_; }
 
   private:
-    void probe(const std::string& machine, int tries);
+    struct Question {
+        std::string machine;
+        int tries = 0; // that are left
+    };
+    void probe(const Question& question);
 
     const Claim& claim_;
     const Facts& facts_;
@@ -61,6 +69,8 @@
         std::set<std::string> open;
     };
     std::map<ShareId, Share> shares_;
+    std::deque<Question> to_ask_;
+    int asking_ = 0;
     Time next_release_ = 0;
     int unanswered_ = 0;
 };
--- a/src/core/io.h
+++ b/src/core/io.h
@@ -232,6 +232,7 @@
 struct CallReply {
     CallId call = 0;
     int status = 0;
+    bool unsent = false; // it never left this process, and never will
     std::uint64_t revision = 0;
     std::uint64_t lease = 0;
     bool more = false;
--- a/src/core/machine_table.cpp
+++ b/src/core/machine_table.cpp
@@ -328,14 +328,14 @@
     m.tasks[task] = std::move(placement);
 }
 
-std::vector<Machine*> MachineTable::to_send() {
+std::vector<Machine*> MachineTable::to_send(std::size_t most) {
     std::vector<Machine*> out;
     std::erase_if(queued_, [&](const std::string& name) {
         Machine* m = find(name);
         if (!m || m->outbox.empty()) {
             return true;
         }
-        if (m->orders == 0 && m->fenced) {
+        if (m->orders == 0 && m->fenced && out.size() < most) {
             out.push_back(m);
         }
         return false;
--- a/src/core/machine_table.h
+++ b/src/core/machine_table.h
@@ -174,8 +174,8 @@
     std::vector<ListingResult::Gone> unqueue(Machine& machine, const std::string* job = nullptr);
     // A stop that goes out directly; it is repeated in responses as long as the task is listed.
     void queue_stop(Machine& machine, const TaskRef& task, std::uint64_t attempt, double grace_s);
-    // The machines with commands that could go out directly now.
-    std::vector<Machine*> to_send();
+    // The machines with commands that could go out directly now, so many at most.
+    std::vector<Machine*> to_send(std::size_t most);
 
     std::map<std::string, Machine>& all() { return machines_; }
     const std::map<std::string, Machine>& all() const { return machines_; }
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -308,32 +308,35 @@
     if (!claim_.usable(now)) {
         return;
     }
-    for (Machine* sendable : machines_.to_send()) {
+    int room = facts_.orders_at_once - orders_out_;
+    for (Machine* sendable : machines_.to_send(static_cast<std::size_t>(std::max(0, room)))) {
         Machine& m = *sendable;
         const std::string& name = m.name;
         ++effort_;
         std::uint64_t token = m.token();
         auto commands = machines_.send_directly(m);
-        CallId call =
-            calls_.send(Orders{name, m.endpoint, token, m.session, commands},
-                        [this, name = name](Time at, CallReply& reply) {
-                            Machine* machine = machines_.find(name);
-                            if (!machine || machine->orders != reply.call) {
-                                return;
-                            }
-                            machine->orders = 0;
-                            unanswered_ = reply.status == 0 ? unanswered_ + 1 : 0;
-                            if (reply.report && reply.report->machine == name &&
-                                (reply.status == 200 || reply.status == 409)) {
-                                apply(at, *machine, *reply.report, reply.call);
-                            } else {
-                                machines_.fence(*machine);
-                                relist(*machine);
-                                calls_.log(Level::info, "event=orders_unanswered machine=" + name);
-                            }
-                            place_on(at, *machine);
-                            send_orders(at);
-                        });
+        ++orders_out_;
+        CallId call = calls_.send(
+            Orders{name, m.endpoint, token, m.session, commands},
+            [this, name = name](Time at, CallReply& reply) {
+                --orders_out_;
+                Machine* machine = machines_.find(name);
+                if (!machine || machine->orders != reply.call) {
+                    return;
+                }
+                machine->orders = 0;
+                unanswered_ = reply.unsent ? unanswered_ : reply.status == 0 ? unanswered_ + 1 : 0;
+                if (reply.report && reply.report->machine == name &&
+                    (reply.status == 200 || reply.status == 409)) {
+                    apply(at, *machine, *reply.report, reply.call);
+                } else {
+                    machines_.fence(*machine);
+                    relist(*machine);
+                    calls_.log(Level::info, "event=orders_unanswered machine=" + name);
+                }
+                place_on(at, *machine);
+                send_orders(at);
+            });
         machines_.sent_directly(m, commands, call);
     }
 }
@@ -506,6 +509,7 @@
     }
     check_leases(now);
     lending_.fence_lots(now);
+    accounts_.ask();
     accounts_.release_missing(now);
     settle(now);
     if (!settled_) {
--- a/src/core/part_owner.h
+++ b/src/core/part_owner.h
@@ -154,6 +154,7 @@
     Postbox postbox_;
     ShareDesk shares_;
     int unanswered_ = 0;
+    int orders_out_ = 0; // direct commands under way
     mutable std::uint64_t effort_ = 0;
     std::optional<Gathering> gathering_;
     std::map<std::string, Time> pressed_; // jobs that room was looked for, and when again
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -243,6 +243,8 @@
     int txn_ops = 0;
     double cloud_rps = 0;
     double list_lag_s = 0;
+    // Direct commands to workers that may be under way at once: each takes a socket and a thread.
+    int orders_at_once = 16;
 };
 
 // Ratios that operators may set; the defaults stand in policy/defaults.
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -13,9 +13,6 @@
 // Threads of each pool. The state pool has room for two watches besides the calls of a burst.
 constexpr std::size_t kStateThreads = 12;
 constexpr std::size_t kCloudThreads = 3;
-// Many machines may be silent at once, each holding a thread until its time is up: the others must
-// not wait behind them.
-constexpr int kSocketsAWorkerThread = 40;
 constexpr std::size_t kPeerThreads = 8;
 
 std::unique_ptr<httplib::Client> connect(const std::string& address, double timeout_s) {
@@ -32,10 +29,11 @@
 
 Clients::Clients(Endpoints endpoints, Deliver deliver)
     : endpoints_(std::move(endpoints)), deliver_(std::move(deliver)),
-      state_(kStateThreads, 10 * endpoints_.report_s),
+      // The budget lets a second's worth of requests go at once.
+      state_(kStateThreads, 10 * endpoints_.report_s,
+             std::max(4 * kStateThreads, static_cast<std::size_t>(endpoints_.state_rps))),
       cloud_(kCloudThreads, 2 * endpoints_.report_s),
-      workers_(static_cast<std::size_t>(std::max(16, endpoints_.sockets / kSocketsAWorkerThread)),
-               2 * endpoints_.report_s),
+      workers_(static_cast<std::size_t>(endpoints_.worker_threads), 2 * endpoints_.report_s),
       peers_(kPeerThreads, 2 * endpoints_.report_s) {}
 
 void Clients::send(const Call& call) {
@@ -50,6 +48,7 @@
     if (!pool.enqueue([this, call] { perform(call); })) {
         CallReply none;
         none.call = call.id;
+        none.unsent = true;
         deliver_(none);
     }
 }
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -16,7 +16,8 @@
     std::string cloud;
     std::map<std::string, std::string> peers; // by node
     double report_s = 0;                      // the measure of all timeouts
-    int sockets = 0;                          // the node's limit
+    int worker_threads = 0;                   // calls to workers at once
+    double state_rps = 0;                     // of the state service, for all nodes
 };
 
 class Clients {
--- a/src/net/thread_pool.cpp
+++ b/src/net/thread_pool.cpp
@@ -8,7 +8,7 @@
 
 bool ThreadPool::enqueue(std::function<void()> work) {
     std::unique_lock lock(mutex_);
-    if (stopping_ || queue_.size() >= 4 * most_) {
+    if (stopping_ || queue_.size() >= most_queued_) {
         return false;
     }
     queue_.push_back(std::move(work));
--- a/src/net/thread_pool.h
+++ b/src/net/thread_pool.h
@@ -10,7 +10,9 @@
 
 class ThreadPool {
   public:
-    ThreadPool(std::size_t most, double linger_s) : most_(most), linger_s_(linger_s) {}
+    // `queue`: work that may wait besides; 0: four times `most`.
+    ThreadPool(std::size_t most, double linger_s, std::size_t queue = 0)
+        : most_(most), most_queued_(queue > 0 ? queue : 4 * most), linger_s_(linger_s) {}
     ~ThreadPool() { stop(); }
     ThreadPool(const ThreadPool&) = delete;
     ThreadPool& operator=(const ThreadPool&) = delete;
@@ -24,6 +26,7 @@
     void run();
 
     const std::size_t most_;
+    const std::size_t most_queued_;
     const double linger_s_;
     std::mutex mutex_;
     std::condition_variable wake_;
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -92,6 +92,7 @@
         f.txn_ops = 12;
         f.cloud_rps = 6;
         f.list_lag_s = 8;
+        f.orders_at_once = options_.orders_at_once;
         node->rate = 1 + options_.drift * (i % 2 ? 1 : 0);
         nodes_.push_back(std::move(node));
         start_node(i);
@@ -229,6 +230,14 @@
             on_log(now_, i, line.text);
         }
     }
+    const int life = nodes_[i]->life;
+    auto ends = [&](const Call* c, const Answer* a) {
+        auto back_s = after_output ? after_output(i, c, a) : std::nullopt;
+        if (back_s && nodes_[i]->life == life) {
+            crash(i, *back_s);
+        }
+        return nodes_[i]->life != life;
+    };
     for (const auto& a : out.answers) {
         auto it = reports_.find(a.request);
         if (it != reports_.end()) {
@@ -237,13 +246,19 @@
             if (!chance(options_.drop)) {
                 at(now_ + delay(), [then, a] { then(a); });
             }
-            continue;
+        } else {
+            note_answer(a);
+            answers[a.request] = a;
+        }
+        if (ends(nullptr, &a)) {
+            return;
         }
-        note_answer(a);
-        answers[a.request] = a;
     }
     for (const auto& c : out.calls) {
         call(i, c);
+        if (ends(&c, nullptr)) {
+            return;
+        }
     }
 }
 
@@ -285,6 +300,9 @@
 }
 
 void World::deliver(int i, int life, CallReply reply) {
+    if (auto out = orders_calls_.extract({i, life, reply.call}); !out.empty()) {
+        --orders_out_[{i, life}];
+    }
     if (nodes_[i]->life == life) {
         input(i, std::move(reply));
     }
@@ -299,6 +317,16 @@
     int life = n.life;
     CallReply none;
     none.call = c.id;
+    if (std::holds_alternative<Orders>(c.body)) {
+        int& out = orders_out_[{i, life}];
+        if (out >= 5 * options_.orders_at_once) {
+            none.unsent = true;
+            at(now_, [=, this] { deliver(i, life, none); });
+            return;
+        }
+        ++out;
+        orders_calls_.insert({i, life, c.id});
+    }
     bool watch = std::holds_alternative<Watch>(c.body);
     if (intercept && intercept(i, c.body)) {
         at(now_ + 1.5, [=, this] { deliver(i, life, none); });
@@ -992,6 +1020,28 @@
     return out;
 }
 
+std::vector<std::string> World::served_under(double share) const {
+    std::map<std::string, std::pair<int, int>> rows; // served, of how many
+    for (const auto& [id, spec] : specs_) {
+        if (told_cancelled_.contains(id) && spec.kind != JobKind::service) {
+            continue;
+        }
+        bool served = spec.kind == JobKind::service ? starts({id, 0}) > 0 : all_done(id);
+        for (const auto& row : {"class " + spec.job_class, "team " + spec.team}) {
+            rows[row].first += served;
+            ++rows[row].second;
+        }
+    }
+    std::vector<std::string> low;
+    for (const auto& [row, count] : rows) {
+        if (count.first < share * count.second) {
+            low.push_back(row + ": " + std::to_string(count.first) + " of " +
+                          std::to_string(count.second));
+        }
+    }
+    return low;
+}
+
 std::string World::describe(const std::string& job) const {
     const JobSpec& s = specs_.at(job);
     std::string out = " kind " + std::to_string(static_cast<int>(s.kind)) + " tasks " +
--- a/tests/world.h
+++ b/tests/world.h
@@ -29,6 +29,9 @@
     double state_write_rps = 20;
     bool one_zone = false; // else two, with the nodes in turn
     bool gpus = false;     // machines have 4 GPUs, and teams state GPUs only
+    // Direct commands that a node sends at once; five times as many wait in its process, more are
+    // not sent.
+    int orders_at_once = 64;
 };
 
 class World {
@@ -87,6 +90,9 @@
     int owner(int part = 0) const;                       // the node that owns the part, -1: none
     std::vector<std::string> broken;                     // rules broken, in words
     std::map<std::string, Outcome> outcomes() const;
+    // Classes and teams of whose jobs, cancelled ones aside, less than this share is done, or for
+    // replicas has been started; in words.
+    std::vector<std::string> served_under(double share) const;
     std::string describe(const std::string& job) const; // for a failing test
     std::size_t calls_of(const std::string& kind) const;
     // Counted since the start: reports, starts, entries and bytes of what owners list for each
@@ -100,6 +106,9 @@
     Counts counts() const;
     // Calls the test wants to see or hold back: return true to swallow the message.
     std::function<bool(int node, const CallBody&)> intercept;
+    // Sees each output that leaves a node, the call or the answer, and may end the node right after
+    // it, before the next one: seconds until it is back.
+    std::function<std::optional<double>(int node, const Call*, const Answer*)> after_output;
     // Sees each line that a node logs.
     std::function<void(Time, int node, const std::string& text)> on_log;
     // Puts a raw record into the state service, or takes one away.
@@ -201,6 +210,8 @@
     std::map<std::string, int> gang_save_count_;
     Counts counts_;
     std::map<std::string, std::size_t> call_counts_;
+    std::map<std::pair<int, int>, int> orders_out_; // by node and life
+    std::set<std::tuple<int, int, CallId>> orders_calls_;
     std::map<std::string, std::size_t> log_counts_;
 };
 
