After a quick restart: types from the state service, ready in an outage, slots settled at once

Cause: a node that is back at once waited for the cloud's catalogue and a timer before its claim; a start in an outage said not ready, so the load balancer kept users away after it; a new owner waited up to two report times (12 s measured) for the workers' own reports on slots that its process of before had got. Change: the catalogue is read from the state service meanwhile; the parts are read as soon as lease and types are there; a node that never had an answer asks its siblings whether the outage is everyone's; owners ask the machines whose slots they fence. Unanswered commands count only while no worker reports (a node once gave its part up for them minutes later). While no worker is heard, the first to miss its report is not released.

--- a/src/core/accounts.cpp
+++ b/src/core/accounts.cpp
@@ -99,6 +99,11 @@
     }
 }
 
+void Accounts::ask(const std::string& machine) {
+    to_ask_.push_back({machine, 1});
+    ask();
+}
+
 // No more than may be under way at once: a question that has to wait in this process would look as
 // if the machine did not answer.
 void Accounts::ask() {
@@ -128,7 +133,6 @@
                         to_ask_.push_back(question);
                         return;
                     }
-                    unanswered_ = reply.status == 0 ? unanswered_ + 1 : 0;
                     machine->unanswered = reply.status == 0 ? machine->unanswered + 1 : 0;
                     if (reply.report && reply.report->machine == question.machine) {
                         if (reply.report->session > machine->lapsed_session) {
--- a/src/core/accounts.h
+++ b/src/core/accounts.h
@@ -37,6 +37,8 @@
     void read(const ShareId& share);
     // Asks those whose turn it is.
     void ask();
+    // A listing of this machine is waited for.
+    void ask(const std::string& machine);
     bool is_read(const ShareId& share) const { return shares_.at(share).read; }
     // Shares that are accounted for from now on.
     std::vector<ShareId> look(Time now);
@@ -47,8 +49,6 @@
     // no older task can be placed. Few, that is of those that came to us at the same time: if most
     // of these are silent, it is more likely that something lies between.
     void release_missing(Time now);
-    // Questions without an answer since the last that had one.
-    int unanswered() const { return unanswered_; }
 
   private:
     struct Question {
@@ -72,7 +72,6 @@
     std::deque<Question> to_ask_;
     int asking_ = 0;
     Time next_release_ = 0;
-    int unanswered_ = 0;
 };
 
 } // namespace orchidlanding
--- a/src/core/borrowing.cpp
+++ b/src/core/borrowing.cpp
@@ -507,7 +507,6 @@
     Orders orders{g.machine, g.endpoint, g.token, g.session, {{Op::start, task, g.id.attempt, 0}}};
     calls_.send(std::move(orders), [this, task, part, machine = g.machine,
                                     id = g.id](Time at, CallReply& reply) {
-        unanswered_ = reply.unsent ? unanswered_ : reply.status == 0 ? unanswered_ + 1 : 0;
         auto it = remote_.find(task);
         if ((reply.status != 409 && !reply.unsent) || it == remote_.end() ||
             it->second.attempt != id.attempt || it->second.machine != machine) {
--- a/src/core/borrowing.h
+++ b/src/core/borrowing.h
@@ -75,8 +75,6 @@
     // that is accounted for, are gone.
     void gone_with(Time now, const std::string& machine);
     void gone_with(Time now, const ShareId& share);
-    // Starts without an answer since the last that had one.
-    int unanswered() const { return unanswered_; }
 
   private:
     struct Peer {
@@ -130,7 +128,6 @@
     std::map<std::string, std::set<TaskRef>> tasks_; // by machine
     std::map<ShareId, std::uint64_t> heard_;         // the latest term listed, or held by us
     std::set<ShareId> inventoried_;
-    int unanswered_ = 0;
 };
 
 } // namespace orchidlanding
--- a/src/core/calls.cpp
+++ b/src/core/calls.cpp
@@ -8,6 +8,14 @@
 
 CallId Calls::send(CallBody body, Then then) {
     CallId id = next_++;
+    if (std::holds_alternative<Orders>(body)) {
+        then = [this, then = std::move(then)](Time at, CallReply& reply) {
+            if (!reply.unsent) {
+                unanswered_ = reply.status == 0 ? unanswered_ + 1 : 0;
+            }
+            then(at, reply);
+        };
+    }
     waiting_.emplace(id, std::move(then));
     out_.calls.push_back({id, std::move(body)});
     return id;
--- a/src/core/calls.h
+++ b/src/core/calls.h
@@ -22,6 +22,10 @@
     int most_changes(StateBudget::Use use) const { return budget_.most_changes(use); }
     // False: not a call of this one.
     bool answered(Time now, CallReply& reply);
+    // Direct commands to workers without an answer, since the last that had one and the last
+    // report: they tell of a node that is cut off only while nothing else is heard.
+    int unanswered() const { return unanswered_; }
+    void heard_worker() { unanswered_ = 0; }
 
     void answer(RequestId request, int status, AnswerBody body, double retry_after_s = 0);
     void log(Level level, std::string text);
@@ -32,6 +36,7 @@
     CallId next_;
     std::map<CallId, Then> waiting_;
     Outputs out_;
+    int unanswered_ = 0;
 };
 
 } // namespace orchidlanding
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -148,6 +148,9 @@
 void Controller::on_report(Time now, const WorkerReport& in) {
     worker_heard_ = now; // whether or not it can be served
     abstain_leases_ = kAbstainLeases;
+    for (auto& [p, owner] : owners_) {
+        owner->heard_worker();
+    }
     ShareId share = share_of_machine(facts_, in.report.machine, in.report.zone);
     int part = table_.holder(share);
     auto it = std::find_if(owners_.begin(), owners_.end(), [&](const auto& owner) {
@@ -182,8 +185,8 @@
 
 // While the state service does not answer: what do the siblings say?
 void Controller::ask_siblings(Time now) {
-    if (state_answered_ < 0) {
-        return; // it has nothing yet that could go on
+    if (state_answered_ < 0 && now - started_ < tick_s()) {
+        return; // it has only just asked
     }
     auto home = owners_.find(facts_.home);
     Time complete = home == owners_.end() ? state_answered_
@@ -200,9 +203,12 @@
 // elsewhere if it alone is cut off. If all are, there is no elsewhere: a node that says so would
 // only be slow to come back, as the load balancer lets it wait.
 bool Controller::can_serve(Time now) const {
-    if (types_.empty() || state_answered_ < 0) {
+    if (types_.empty()) {
         return false;
     }
+    if (state_answered_ < 0) { // started in an outage
+        return promises_.outage_is_everyones(now);
+    }
     if (promises_.in_contact(now, state_answered_)) {
         return true;
     }
@@ -213,9 +219,7 @@
 }
 
 void Controller::tick(Time now) {
-    if (types_.empty() && !fetching_ && now >= next_catalog_) {
-        fetch_catalog(now);
-    }
+    learn_types(now);
     if (authority_.has_lease()) {
         renew(now);
     } else {
@@ -249,34 +253,54 @@
     }
 }
 
-void Controller::fetch_catalog(Time now) {
+// What the cloud said at an earlier start is read from the state service meanwhile: it is there
+// much sooner, and without types a node can neither take a job nor claim a part.
+void Controller::learn_types(Time now) {
+    if (fetched_ || now < next_catalog_) {
+        return;
+    }
+    next_catalog_ = now + (types_.empty() ? facts_.report_s / 3 : facts_.lease_s);
+    if (!fetching_) {
+        fetch_catalog();
+    }
+    if (types_.empty() && !reading_catalog_) {
+        read_catalog(now);
+    }
+}
+
+void Controller::fetch_catalog() {
     fetching_ = true;
-    next_catalog_ = now + facts_.report_s / 3;
     calls_.send(Catalog{}, [this](Time at, CallReply& reply) {
         fetching_ = false;
         if (reply.status == 200 && !reply.types.empty()) {
+            fetched_ = true;
+            bool first = types_.empty();
             types_ = reply.types;
-            next_read_ = at;
+            if (first && !reading_) {
+                read_parts(at);
+            }
             Txn txn;
             txn.then.push_back({kCatalog, CatalogRecord{types_}, {}});
             calls_.send_state(at, StateBudget::Use::progress, std::move(txn),
                               [](Time, CallReply&) {});
-        } else if (types_.empty()) {
-            read_catalog(at);
         }
     });
 }
 
-// The cloud does not answer: what it said before is better than serving nobody.
 void Controller::read_catalog(Time now) {
-    calls_.send_state(now, StateBudget::Use::user, Get{kCatalog}, [this](Time, CallReply& reply) {
-        if (reply.status != 200 || reply.items.empty() || !types_.empty()) {
-            return;
-        }
-        if (const auto* catalog = std::get_if<CatalogRecord>(&reply.items[0].record)) {
-            types_ = catalog->types;
-        }
-    });
+    reading_catalog_ = calls_.send_state(
+        now, StateBudget::Use::user, Get{kCatalog}, [this](Time at, CallReply& reply) {
+            reading_catalog_ = false;
+            if (reply.status != 200 || reply.items.empty() || !types_.empty()) {
+                return;
+            }
+            if (const auto* catalog = std::get_if<CatalogRecord>(&reply.items[0].record)) {
+                types_ = catalog->types;
+                if (!reading_) {
+                    read_parts(at);
+                }
+            }
+        });
 }
 
 // ---- The lease ----
@@ -295,6 +319,9 @@
                               authority_.granted(reply.lease, sent);
                               next_renew_ = sent + authority_.ttl_s() / 8;
                               next_read_ = at;
+                              if (!reading_) {
+                                  read_parts(at);
+                              }
                           }
                       });
 }
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -29,7 +29,8 @@
   private:
     static constexpr double kAbstainLeases = 2;
     void tick(Time now);
-    void fetch_catalog(Time now);
+    void learn_types(Time now);
+    void fetch_catalog();
     void read_catalog(Time now);
     void grant_lease(Time now);
     void renew(Time now);
@@ -64,6 +65,8 @@
     std::set<int> claiming_;
     std::vector<MachineType> types_;
     bool fetching_ = false;
+    bool fetched_ = false; // the types are the cloud's own, not what another start heard of them
+    bool reading_catalog_ = false;
     bool granting_ = false;
     bool renewing_ = false;
     bool reading_ = false;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -6,8 +6,9 @@
 namespace orchidlanding {
 
 namespace {
-constexpr int kMostPerOrder = 50;    // the cloud's own limit
-constexpr double kMissedReports = 2; // silent for so many report times: suspect
+constexpr int kMostPerOrder = 50;     // the cloud's own limit
+constexpr double kMissedReports = 2;  // silent for so many report times: suspect
+constexpr double kHeardReports = 1.5; // a worker that is heard has reported within so many
 } // namespace
 
 // One that has missed its reports is most likely gone.
@@ -201,10 +202,14 @@
     double spot = totals.spot_slots;
     std::size_t reporting = 0;
     std::size_t missing = 0;
+    bool heard = false;
     for (const auto& [name, m] : machines.all()) {
         reporting += m.reported;
         missing += silent(now, m);
+        heard = heard || (m.reported && now - m.last_report < kHeardReports * facts_.report_s);
     }
+    // While none is heard, the first that falls due is not the only one that is silent.
+    may_suspect = may_suspect && (heard || reporting == 1);
     for (const auto& [name, m] : machines.all()) {
         if (m.releasing) {
             continue;
--- a/src/core/lending.cpp
+++ b/src/core/lending.cpp
@@ -353,9 +353,12 @@
         }
         return false;
     });
+    // The new owner of a part places no older task until these slots are settled, and a report
+    // under the new token may be two report times away.
     for (Machine* m : fence) {
         machines_.fence(*m);
         owner_.relist(*m);
+        owner_.ask(m->name);
     }
 }
 
--- a/src/core/lending.h
+++ b/src/core/lending.h
@@ -18,6 +18,8 @@
     struct Part { // what it needs of the part it works for
         virtual ~Part() = default;
         virtual void relist(Machine& machine) = 0;
+        // A listing of the machine is waited for: it is asked for one at once.
+        virtual void ask(const std::string& machine) = 0;
         // The wants have come, or changed: our idle slots go to whoever is first in order.
         virtual void serve(Time now) = 0;
         // A machine of this part was rented by the caller for all.
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -316,27 +316,26 @@
         std::uint64_t token = m.token();
         auto commands = machines_.send_directly(m);
         ++orders_out_;
-        CallId call = calls_.send(
-            Orders{name, m.endpoint, token, m.session, commands},
-            [this, name = name](Time at, CallReply& reply) {
-                --orders_out_;
-                Machine* machine = machines_.find(name);
-                if (!machine || machine->orders != reply.call) {
-                    return;
-                }
-                machine->orders = 0;
-                unanswered_ = reply.unsent ? unanswered_ : reply.status == 0 ? unanswered_ + 1 : 0;
-                if (reply.report && reply.report->machine == name &&
-                    (reply.status == 200 || reply.status == 409)) {
-                    apply(at, *machine, *reply.report, reply.call);
-                } else {
-                    machines_.fence(*machine);
-                    relist(*machine);
-                    calls_.log(Level::info, "event=orders_unanswered machine=" + name);
-                }
-                place_on(at, *machine);
-                send_orders(at);
-            });
+        CallId call =
+            calls_.send(Orders{name, m.endpoint, token, m.session, commands},
+                        [this, name = name](Time at, CallReply& reply) {
+                            --orders_out_;
+                            Machine* machine = machines_.find(name);
+                            if (!machine || machine->orders != reply.call) {
+                                return;
+                            }
+                            machine->orders = 0;
+                            if (reply.report && reply.report->machine == name &&
+                                (reply.status == 200 || reply.status == 409)) {
+                                apply(at, *machine, *reply.report, reply.call);
+                            } else {
+                                machines_.fence(*machine);
+                                relist(*machine);
+                                calls_.log(Level::info, "event=orders_unanswered machine=" + name);
+                            }
+                            place_on(at, *machine);
+                            send_orders(at);
+                        });
         machines_.sent_directly(m, commands, call);
     }
 }
@@ -416,10 +415,6 @@
     renting_.release(now, std::move(names));
 }
 
-int PartOwner::unanswered() const {
-    return std::max({unanswered_, borrowing_.unanswered(), accounts_.unanswered()});
-}
-
 void PartOwner::resume(Time now) {
     settle(now);
     place(now);
--- a/src/core/part_owner.h
+++ b/src/core/part_owner.h
@@ -39,8 +39,10 @@
     bool answered(Time now, CallReply& reply) { return calls_.answered(now, reply); }
     void take(Outputs& out) { calls_.take(out); }
     std::size_t reporting() const { return machines_.reporting(); }
-    // Direct commands to workers without an answer since the last that had one.
-    int unanswered() const;
+    // See Calls::unanswered.
+    int unanswered() const { return calls_.unanswered(); }
+    // A worker has reported to this node.
+    void heard_worker() { calls_.heard_worker(); }
     // Machines and jobs looked at so far: what grows with the fleet must not grow with each report.
     std::uint64_t effort() const { return effort_ + lending_.effort() + demand_.effort(); }
     // The owner of another part asks for slots for its tasks, as the owner of their jobs.
@@ -134,6 +136,7 @@
     bool settled() const override { return settled_; }
     void after_reply(Time now) override;
     void serve(Time now) override;
+    void ask(const std::string& machine) override { accounts_.ask(machine); }
     void expect(Time now, const Bought& bought) override { renting_.expect(now, bought); }
     void take_given(Time now, const Given& given) override { shares_.take(now, given); }
     bool awaits_listings() const override { return loaded_ && !settled_; }
@@ -153,7 +156,6 @@
     Borrowing borrowing_;
     Postbox postbox_;
     ShareDesk shares_;
-    int unanswered_ = 0;
     int orders_out_ = 0; // direct commands under way
     mutable std::uint64_t effort_ = 0;
     std::optional<Gathering> gathering_;
--- a/tests/borrowing_test.cpp
+++ b/tests/borrowing_test.cpp
@@ -301,6 +301,7 @@
     }
     void relist(Machine&) override {}
     void serve(Time) override {}
+    void ask(const std::string&) override {}
     void expect(Time, const Bought&) override {}
     void take_given(Time, const Given&) override {}
     Answer call(std::uint64_t number, bool gives_back) {
--- a/tests/restart_test.cpp
+++ b/tests/restart_test.cpp
@@ -32,5 +32,89 @@
     EXPECT_TRUE(w.broken.empty()) << w.broken.front();
 }
 
+// The owners of the machines fence the slots that the process before had got. The new one places no
+// older task until these have shown, which by the workers' own reports took two report times.
+TEST(RestartTakeover, IsSettledBeforeTheWorkersReportByThemselves) {
+    World w({.nodes = 3, .run_s = 60, .limits = 20, .capacity = 40});
+    w.run_for(3);
+    w.submit(0, w.job("req-1", 300, 2));
+    w.run_for(5);
+    int node = w.owner(part_of_team(w.facts(0), "red"));
+    // Right after it has got slots that it has not used.
+    bool granted = false;
+    w.after_output = [&](int, const Call*, const Answer* a) -> std::optional<double> {
+        const auto* reply = a ? std::get_if<ExchangeReply>(&a->body) : nullptr;
+        if (!granted && reply && !reply->grants.empty()) {
+            granted = true;
+            w.at(w.now(), [&] { w.crash(node, 0.1); });
+        }
+        return {};
+    };
+    std::size_t settled = w.logged("event=part_settled");
+    for (int k = 0; k < 40 && !granted; ++k) {
+        w.run_for(0.5);
+    }
+    ASSERT_TRUE(granted);
+    w.run_for(w.facts(0).report_s / 2);
+    EXPECT_GT(w.logged("event=part_settled"), settled);
+    w.run_for(300);
+    EXPECT_TRUE(w.all_done("req-1"));
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+}
+
+// ---- What it costs users ----
+
+// The types of machines are the state service's to tell when the cloud is slow.
+TEST(RestartUsers, AreServedBeforeTheCloudHasAnswered) {
+    World w({.nodes = 3});
+    w.run_for(5);
+    w.intercept = [](int, const CallBody& call) { return std::holds_alternative<Catalog>(call); };
+    w.crash(1, 0.1);
+    w.run_for(0.4);
+    EXPECT_EQ(w.probe(1), 200);
+    RequestId request = w.submit(1, w.job("req-1", 4));
+    w.run_for(0.2);
+    EXPECT_EQ(w.answers.at(request).status, 201);
+    EXPECT_EQ(w.owner(1), 1);
+    w.run_for(60);
+    EXPECT_TRUE(w.all_done("req-1"));
+}
+
+// A start of all in an outage: there is no node that could do better, and one that says it is not
+// ready is let wait by the load balancer long after the outage.
+TEST(RestartUsers, FindAllNodesReadyAfterAStartInAnOutageThatIsEveryones) {
+    World w({.nodes = 3});
+    w.run_for(5);
+    w.state_down(true);
+    for (int n = 0; n < 3; ++n) {
+        w.crash(n, 0.3);
+    }
+    w.run_for(1.2);
+    for (int n = 0; n < 3; ++n) {
+        EXPECT_EQ(w.probe(n), 200) << n;
+        RequestId request = w.submit(n, w.job("req-1", 4));
+        w.run_for(0.2);
+        EXPECT_EQ(w.answers.at(request).status, 503);
+        EXPECT_GT(w.answers.at(request).retry_after_s, 0);
+    }
+    w.state_down(false);
+    w.run_for(1);
+    RequestId request = w.submit(2, w.job("req-1", 4));
+    w.run_for(0.2);
+    EXPECT_EQ(w.answers.at(request).status, 201);
+}
+
+TEST(RestartUsers, AreKeptFromANodeThatStartsAndIsAloneRefused) {
+    World w({.nodes = 3});
+    w.run_for(5);
+    w.state_refuses(1, true);
+    w.crash(1, 0.3);
+    for (int k = 0; k < 20; ++k) {
+        w.run_for(0.5);
+        EXPECT_EQ(w.probe(1), 503) << k;
+        EXPECT_EQ(w.probe(0), 200) << k;
+    }
+}
+
 } // namespace
 } // namespace orchidlanding::test
--- a/tests/share_test.cpp
+++ b/tests/share_test.cpp
@@ -726,6 +726,7 @@
     World w(five(10));
     fill(w, 20);
     w.run_for(20);
+    w.crash(2, 100);
     w.put(part_key(2), PartRecord{"n2", false}); // as if an older program had claimed it
     w.run_for(3);
     EXPECT_FALSE(w.give(0, busy_share(w, 0), 3));
