A listing counts only under our token: a late report of a dead machine moved a task that ran

Change: tasks of owners before us are adopted, stopped and cleared only by a listing that shows our token, which no late message can. Replicas no longer move off machines while their guests' shapes are not known. Machines that do not answer count as many when they are many: one dead machine asked three times once made a node give up all its parts.

--- a/src/core/calls.cpp
+++ b/src/core/calls.cpp
@@ -8,10 +8,13 @@
 
 CallId Calls::send(CallBody body, Then then) {
     CallId id = next_++;
-    if (std::holds_alternative<Orders>(body)) {
-        then = [this, then = std::move(then)](Time at, CallReply& reply) {
-            if (!reply.unsent) {
-                unanswered_ = reply.status == 0 ? unanswered_ + 1 : 0;
+    if (const auto* orders = std::get_if<Orders>(&body)) {
+        then = [this, machine = orders->machine, then = std::move(then)](Time at,
+                                                                         CallReply& reply) {
+            if (reply.status != 0) {
+                unanswered_.clear();
+            } else if (!reply.unsent) {
+                unanswered_.insert(machine);
             }
             then(at, reply);
         };
--- a/src/core/calls.h
+++ b/src/core/calls.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <set>
 
 #include "core/io.h"
 #include "core/state_budget.h"
@@ -22,10 +23,10 @@
     int most_changes(StateBudget::Use use) const { return budget_.most_changes(use); }
     // False: not a call of this one.
     bool answered(Time now, CallReply& reply);
-    // Direct commands to workers without an answer, since the last that had one and the last
-    // report: they tell of a node that is cut off only while nothing else is heard.
-    int unanswered() const { return unanswered_; }
-    void heard_worker() { unanswered_ = 0; }
+    // Machines that have not answered direct commands, since the last that did and the last report:
+    // they tell of a node that is cut off only while nothing else is heard.
+    int unanswered() const { return static_cast<int>(unanswered_.size()); }
+    void heard_worker() { unanswered_.clear(); }
 
     void answer(RequestId request, int status, AnswerBody body, double retry_after_s = 0);
     void log(Level level, std::string text);
@@ -36,7 +37,7 @@
     CallId next_;
     std::map<CallId, Then> waiting_;
     Outputs out_;
-    int unanswered_ = 0;
+    std::set<std::string> unanswered_;
 };
 
 } // namespace orchidlanding
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 constexpr char kCatalog[] = "catalog";
-constexpr int kUnanswered = 3; // direct commands in a row
+constexpr int kUnanswered = 3; // machines in a row
 constexpr RequestId kLocalRequest = 1ULL << 62;
 } // namespace
 
--- a/src/core/machine_table.cpp
+++ b/src/core/machine_table.cpp
@@ -64,7 +64,9 @@
 
 bool Machine::has_service() const {
     return std::any_of(tasks.begin(), tasks.end(),
-                       [](const auto& t) { return t.second.kind == JobKind::service; }) ||
+                       [](const auto& t) {
+                           return t.second.kind == JobKind::service || t.second.shape_unknown;
+                       }) ||
            std::any_of(lots.begin(), lots.end(),
                        [](const auto& l) { return l.second.shape.kind == JobKind::service; });
 }
--- a/src/core/machine_table.h
+++ b/src/core/machine_table.h
@@ -109,7 +109,8 @@
     bool warm(const std::string& image) const;
     bool has_foreign() const;
     bool has_unknown_shape() const;
-    // Replicas run until they are cancelled, so such a machine does not empty by itself.
+    // Replicas run until they are cancelled, so such a machine does not empty by itself. A guest
+    // whose owner has not told its shape yet may be one.
     bool has_service() const;
     // May the job have idle slots here?
     bool kept_for(const std::string& job) const {
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -187,9 +187,13 @@
     return counts;
 }
 
-// Tasks that an owner before us started come to light through the listing.
+// Tasks that an owner before us started come to light through the listing. Only one under our token
+// counts: a report that comes late, of a machine that was released long ago or of one that has
+// since ended the task, cannot show it. Once such a report was believed by an owner that had just
+// started and no longer knew the machine; its tasks' true places were then taken for foreign, and
+// the tasks started again while they ran.
 void PartOwner::adopt_listed(Time now, Machine& m) {
-    if (!loaded_) {
+    if (!loaded_ || !m.fenced) {
         return;
     }
     std::vector<ListedTask> listed = std::move(m.foreign);
@@ -255,7 +259,7 @@
 
 // Clears and stops for what is on the machine and should not be. Both can be repeated.
 void PartOwner::upkeep(Machine& m, std::vector<Command>& out) {
-    if (!loaded_) {
+    if (!loaded_ || !m.fenced) {
         return; // what is not known yet may be a job's rightful task
     }
     m.forget_told();
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -837,6 +837,7 @@
     }
     Worker& w = *it->second;
     Report body = report_of(w);
+    last_reports_[name] = body;
     ++counts_.reports;
     RequestId request = next_request_++ + (1ULL << 40);
     std::uint64_t flight = ++sequence_;
@@ -904,6 +905,12 @@
     at(now_ + way, [this, node, request, body] { input(node, WorkerReport{request, body}); });
 }
 
+void World::deliver_late(int node, const Report& report) {
+    RequestId request = next_request_++ + (1ULL << 40);
+    reports_[request] = [](const Answer&) {}; // the worker gave it up long ago
+    input(node, WorkerReport{request, report});
+}
+
 // ---- Faults and truth ----
 
 void World::state_refuses(int node, bool refuses) { nodes_[node]->refused_by_state = refuses; }
@@ -1022,8 +1029,11 @@
 
 std::vector<std::string> World::served_under(double share) const {
     std::map<std::string, std::pair<int, int>> rows; // served, of how many
+    std::map<std::string, Outcome> ended = outcomes();
     for (const auto& [id, spec] : specs_) {
-        if (told_cancelled_.contains(id) && spec.kind != JobKind::service) {
+        auto outcome = ended.find(id);
+        bool cancelled = outcome != ended.end() && outcome->second == Outcome::cancelled;
+        if (cancelled && spec.kind != JobKind::service) {
             continue;
         }
         bool served = spec.kind == JobKind::service ? starts({id, 0}) > 0 : all_done(id);
--- a/tests/world.h
+++ b/tests/world.h
@@ -106,6 +106,9 @@
     Counts counts() const;
     // Calls the test wants to see or hold back: return true to swallow the message.
     std::function<bool(int node, const CallBody&)> intercept;
+    // A report that the machine sent once comes to the node only now, or once more.
+    Report last_report(const std::string& machine) const { return last_reports_.at(machine); }
+    void deliver_late(int node, const Report& report);
     // Sees each output that leaves a node, the call or the answer, and may end the node right after
     // it, before the next one: seconds until it is back.
     std::function<std::optional<double>(int node, const Call*, const Answer*)> after_output;
@@ -209,6 +212,7 @@
     std::map<std::string, int> gang_run_count_;
     std::map<std::string, int> gang_save_count_;
     Counts counts_;
+    std::map<std::string, Report> last_reports_;
     std::map<std::string, std::size_t> call_counts_;
     std::map<std::pair<int, int>, int> orders_out_; // by node and life
     std::set<std::tuple<int, int, CallId>> orders_calls_;
