--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -64,8 +64,9 @@
     loop_pointer = &loop;
     net::Server server(loop, {settings.sockets, settings.facts.report_s});
     net::Server back(loop, {settings.sockets, settings.facts.report_s}, net::Server::Side::back);
-    if (!server.bind(settings.listen_host, settings.listen_port) ||
-        !back.bind(settings.back_host, settings.back_port)) {
+    double patience_s = settings.facts.report_s;
+    if (!server.bind_within(settings.listen_host, settings.listen_port, patience_s) ||
+        !back.bind_within(settings.back_host, settings.back_port, patience_s)) {
         spdlog::error("event=cannot_listen listen={}:{} back={}:{}", settings.listen_host,
                       settings.listen_port, settings.back_host, settings.back_port);
         return 1;
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -253,32 +253,32 @@
     }
 }
 
-// What the cloud said at an earlier start is read from the state service meanwhile: it is there
-// much sooner, and without types a node can neither take a job nor claim a part.
+// What the cloud said at an earlier start is read from the state service: it is there much sooner,
+// and without types a node can neither take a job nor claim a part. The cloud is asked at once only
+// when that cannot be had, so that a process that ends again and again does not use up its
+// requests.
 void Controller::learn_types(Time now) {
     if (fetched_ || now < next_catalog_) {
         return;
     }
     next_catalog_ = now + (types_.empty() ? facts_.report_s / 3 : facts_.lease_s);
-    if (!fetching_) {
+    if (!types_.empty()) {
+        fetch_catalog();
+    } else if (!reading_catalog_ && !read_catalog(now)) {
         fetch_catalog();
-    }
-    if (types_.empty() && !reading_catalog_) {
-        read_catalog(now);
     }
 }
 
 void Controller::fetch_catalog() {
+    if (fetching_) {
+        return;
+    }
     fetching_ = true;
     calls_.send(Catalog{}, [this](Time at, CallReply& reply) {
         fetching_ = false;
         if (reply.status == 200 && !reply.types.empty()) {
             fetched_ = true;
-            bool first = types_.empty();
-            types_ = reply.types;
-            if (first && !reading_) {
-                read_parts(at);
-            }
+            know_types(at, reply.types);
             Txn txn;
             txn.then.push_back({kCatalog, CatalogRecord{types_}, {}});
             calls_.send_state(at, StateBudget::Use::progress, std::move(txn),
@@ -287,20 +287,29 @@
     });
 }
 
-void Controller::read_catalog(Time now) {
+bool Controller::read_catalog(Time now) {
     reading_catalog_ = calls_.send_state(
         now, StateBudget::Use::user, Get{kCatalog}, [this](Time at, CallReply& reply) {
             reading_catalog_ = false;
-            if (reply.status != 200 || reply.items.empty() || !types_.empty()) {
-                return;
-            }
-            if (const auto* catalog = std::get_if<CatalogRecord>(&reply.items[0].record)) {
-                types_ = catalog->types;
-                if (!reading_) {
-                    read_parts(at);
-                }
+            const auto* catalog = reply.status == 200 && !reply.items.empty()
+                                      ? std::get_if<CatalogRecord>(&reply.items[0].record)
+                                      : nullptr;
+            if (!catalog) {
+                fetch_catalog();
+            } else if (types_.empty()) {
+                next_catalog_ = at + facts_.report_s; // its prices are those of another day
+                know_types(at, catalog->types);
             }
         });
+    return reading_catalog_;
+}
+
+void Controller::know_types(Time now, const std::vector<MachineType>& types) {
+    bool first = types_.empty();
+    types_ = types;
+    if (first && !reading_) {
+        read_parts(now); // parts can be claimed from here on
+    }
 }
 
 // ---- The lease ----
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -31,7 +31,8 @@
     void tick(Time now);
     void learn_types(Time now);
     void fetch_catalog();
-    void read_catalog(Time now);
+    bool read_catalog(Time now);
+    void know_types(Time now, const std::vector<MachineType>& types);
     void grant_lease(Time now);
     void renew(Time now);
     void read_parts(Time now);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -75,8 +75,10 @@
         }
     }
     // Several requests at once where one may not ask for enough, each zone and kind within a
-    // quarter of the cloud's limit.
-    int most = kMostPerOrder * static_cast<int>(std::max(1.0, facts_.cloud_rps / 4));
+    // quarter of what the cloud takes until the next time.
+    int most =
+        kMostPerOrder *
+        static_cast<int>(std::max(1.0, facts_.cloud_rps * kRentReports * facts_.report_s / 4));
     std::map<std::string, int> count;
     while (lack > 0 && !open.empty()) {
         auto least = std::min_element(open.begin(), open.end(), [&](const auto& a, const auto& b) {
@@ -178,7 +180,9 @@
         }
         // This part's share of what all parts have too much, half of it a step: a fleet many
         // times as large shrinks in the same time. The emptiest machines go first.
-        std::sort(usables.begin(), usables.end());
+        // Equals in the order of their names: by address, no run would repeat another.
+        std::stable_sort(usables.begin(), usables.end(),
+                         [](const auto& a, const auto& b) { return a.first < b.first; });
         double room = 0.5 * (have - want) * own / std::max(own, have);
         bool first = true;
         for (const auto& [free, m] : usables) {
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -9,6 +9,9 @@
 
 namespace orchidlanding {
 
+// Of a report time: between two rounds of renting and giving back.
+inline constexpr double kRentReports = 1.0 / 3;
+
 // What all parts have and want together, as far as this owner has heard.
 struct Totals {
     Demand demand;
--- a/src/core/renting.cpp
+++ b/src/core/renting.cpp
@@ -15,7 +15,7 @@
       fleet_(fleet), demand_(demand), calls_(calls), owner_(owner) {}
 
 void Renting::run(Time now, bool may_suspect) {
-    next_ = now + facts_.report_s / 3;
+    next_ = now + kRentReports * facts_.report_s;
     demand_.forget_late(now);
     Totals sum = demand_.totals(now);
     // Not before the others have said what they have, or it would be rented once more.
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -4,7 +4,9 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
+#include <thread>
 
 #include "net/thread_pool.h"
 #include "wire/codec.h"
@@ -15,6 +17,7 @@
 constexpr int kLongestPath = 256;
 constexpr int kBacklog = 128;
 constexpr std::size_t kRefusers = 4; // threads
+constexpr double kBindTries = 300;
 
 // This thread serves a connection that there is no thread for: it is only told to come back.
 thread_local bool overloaded = false;
@@ -96,6 +99,12 @@
     std::size_t threads = std::clamp(limits.sockets / 8, 16, 96);
     double linger_s = limits.report_s * 4;
     http_->new_task_queue = [threads, linger_s] { return new Queue(threads, linger_s); };
+    // The port of a process that has just ended can be had at once, that of one that lives cannot:
+    // httplib's own option would let two processes share it, each with a part of the connections.
+    http_->set_socket_options([](socket_t socket) {
+        int yes = 1;
+        ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+    });
     http_->set_keep_alive_max_count(1);
     http_->set_keep_alive_timeout(std::max(1, static_cast<int>(limits.report_s)));
     http_->set_read_timeout(std::chrono::milliseconds(int(limits.report_s * 700)));
@@ -168,6 +177,18 @@
 
 Server::~Server() = default;
 
+bool Server::bind_within(const std::string& host, int port, double seconds) {
+    using Clock = std::chrono::steady_clock;
+    auto end = Clock::now() + std::chrono::duration<double>(seconds);
+    while (!bind(host, port)) {
+        if (Clock::now() >= end) {
+            return false;
+        }
+        std::this_thread::sleep_for(std::chrono::duration<double>(seconds / kBindTries));
+    }
+    return true;
+}
+
 bool Server::bind(const std::string& host, int port) {
     if (port == 0) {
         port_ = http_->bind_to_any_port(host);
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -21,6 +21,8 @@
     ~Server();
     // False: the address cannot be had.
     bool bind(const std::string& host, int port);
+    // Tries again for so long: the process of before may not be quite gone when this one starts.
+    bool bind_within(const std::string& host, int port, double seconds);
     void run();
     void stop();
     int port() const { return port_; }
--- a/tests/restart_test.cpp
+++ b/tests/restart_test.cpp
@@ -115,6 +115,40 @@
     EXPECT_TRUE(w.all_done("req-1"));
 }
 
+// A process that ends again and again, each time as soon as it has begun.
+TEST(RestartUsers, OfOtherControllersNoticeNothingOfOneThatEndsEverySecond) {
+    World w({.nodes = 5, .run_s = 10, .limits = 12, .capacity = 64});
+    w.run_for(3);
+    JobSpec other = w.job("req-1", 600, 2);
+    other.team = "blue";
+    int looping = w.owner(part_of_team(w.facts(0), "red"));
+    ASSERT_NE(looping, w.owner(part_of_team(w.facts(0), "blue")));
+    w.submit((looping + 1) % 5, other);
+    w.run_for(15);
+    std::size_t catalogs = w.calls_of("catalog");
+    std::size_t claims = w.logged("event=part_claimed");
+    std::vector<std::string> taken;
+    for (int k = 0; k < 60; ++k) {
+        w.crash(looping, 0.05);
+        w.run_for(0.9);
+        RequestId request = w.submit(looping, w.job("req-" + std::to_string(10 + k), 1));
+        w.run_for(0.1);
+        if (w.answers.contains(request) && w.answers.at(request).status == 201) {
+            taken.push_back("req-" + std::to_string(10 + k));
+        }
+        EXPECT_EQ(w.owner(looping), looping) << k;
+    }
+    EXPECT_GE(taken.size(), 58u); // the state service may be slow to answer in a life of a second
+    EXPECT_TRUE(w.all_done("req-1"));
+    EXPECT_LE(w.calls_of("catalog"), catalogs + 1);
+    EXPECT_LE(w.logged("event=part_claimed"), claims + 60); // its own, and no part goes round
+    w.run_for(120);
+    for (const auto& id : taken) {
+        EXPECT_TRUE(w.all_done(id)) << id;
+    }
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+}
+
 // A start of all in an outage: there is no node that could do better, and one that says it is not
 // ready is let wait by the load balancer long after the outage.
 TEST(RestartUsers, FindAllNodesReadyAfterAStartInAnOutageThatIsEveryones) {
