Types heard of at an earlier start refuse no job for good

Need: a node takes its types of machines from the state service until the cloud has answered; a type that is new since would have made it answer 422, which users do not retry. Now 503 with Retry-After until the cloud's own types are there.

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -54,7 +54,7 @@
         started_ = now;
     }
     if (auto* submit = std::get_if<Submit>(&input)) {
-        desk_.submit(now, *submit, types_);
+        desk_.submit(now, *submit, types_, fetched_);
     } else if (auto* poll = std::get_if<Poll>(&input)) {
         polls_.poll(now, poll->request, poll->job);
     } else if (auto* cancel = std::get_if<Cancel>(&input)) {
--- a/src/core/user_desk.cpp
+++ b/src/core/user_desk.cpp
@@ -9,26 +9,27 @@
 
 namespace {
 std::string key_of(const std::string& job) { return kJobs + job; }
+
+bool fits(const JobSpec& s, const std::vector<MachineType>& types) {
+    return std::any_of(types.begin(), types.end(), [&](const MachineType& t) {
+        bool here = !s.zone || std::find(t.zones.begin(), t.zones.end(), *s.zone) != t.zones.end();
+        return s.allows_type(t.name) && here && s.cpus <= t.cpus && s.gpus <= t.gpus &&
+               s.ram_gb <= t.ram_gb;
+    });
+}
 } // namespace
 
-std::string UserDesk::refusal(const JobSpec& s, const std::vector<MachineType>& types) const {
+std::string UserDesk::refusal(const JobSpec& s) const {
     const TeamFacts* team = teams_.facts(s.team);
     if (!team) {
         return "unknown team";
     }
     double times = s.kind == JobKind::array ? 1 : s.tasks;
-    if (!team->allows(s.cpus * times, s.gpus * times)) {
-        return "over the team's limit";
-    }
-    bool fits = std::any_of(types.begin(), types.end(), [&](const MachineType& t) {
-        bool here = !s.zone || std::find(t.zones.begin(), t.zones.end(), *s.zone) != t.zones.end();
-        return s.allows_type(t.name) && here && s.cpus <= t.cpus && s.gpus <= t.gpus &&
-               s.ram_gb <= t.ram_gb;
-    });
-    return fits ? "" : "fits no allowed machine type";
+    return team->allows(s.cpus * times, s.gpus * times) ? "" : "over the team's limit";
 }
 
-void UserDesk::submit(Time now, const Submit& submit, const std::vector<MachineType>& types) {
+void UserDesk::submit(Time now, const Submit& submit, const std::vector<MachineType>& types,
+                      bool current) {
     const JobSpec& spec = submit.spec;
     // An accepted job's retry is answered with its state, whatever the settings say today; so
     // the job is looked for before it is refused.
@@ -39,11 +40,18 @@
         calls_.answer(submit.request, 503, Plain{"machine types not known yet"}, 1);
         return;
     }
-    std::string why = refusal(spec, types);
-    if (why.empty()) {
+    std::string why = refusal(spec);
+    if (why.empty() && fits(spec, types)) {
         create(now, submit.request, spec);
         return;
     }
+    if (why.empty()) {
+        if (!current) { // the cloud may have a type by now that it fits
+            calls_.answer(submit.request, 503, Plain{"machine types may have changed"}, 1);
+            return;
+        }
+        why = "fits no allowed machine type";
+    }
     bool sent = calls_.send_state(
         now, StateBudget::Use::user, Get{key_of(spec.id)},
         [this, request = submit.request, id = spec.id, why](Time, CallReply& reply) {
--- a/src/core/user_desk.h
+++ b/src/core/user_desk.h
@@ -15,11 +15,13 @@
     UserDesk(const Facts& facts, Calls& calls, JobIndex& index)
         : calls_(calls), index_(index), teams_(facts.teams) {}
 
-    void submit(Time now, const Submit& submit, const std::vector<MachineType>& types);
+    // `current`: the types are the cloud's own, not what was heard of them at an earlier start.
+    void submit(Time now, const Submit& submit, const std::vector<MachineType>& types,
+                bool current);
     void cancel(Time now, const Cancel& cancel, int tries_left = 3);
 
   private:
-    std::string refusal(const JobSpec& spec, const std::vector<MachineType>& types) const;
+    std::string refusal(const JobSpec& spec) const;
     void create(Time now, RequestId request, const JobSpec& spec);
     // Reads the job and answers with its state; `then` takes over when it is still open.
     using Open = std::function<void(Time, const KeyedRecord&)>;
--- a/tests/restart_test.cpp
+++ b/tests/restart_test.cpp
@@ -111,8 +111,16 @@
     w.run_for(0.2);
     EXPECT_EQ(w.answers.at(request).status, 201);
     EXPECT_EQ(w.owner(1), 1);
+    // The cloud may have other types by now, so nothing is refused for good for what is known.
+    request = w.submit(1, w.job("req-2", 1, 9));
+    w.run_for(0.2);
+    EXPECT_EQ(w.answers.at(request).status, 503);
+    w.intercept = nullptr;
     w.run_for(60);
     EXPECT_TRUE(w.all_done("req-1"));
+    request = w.submit(1, w.job("req-2", 1, 9));
+    w.run_for(0.2);
+    EXPECT_EQ(w.answers.at(request).status, 422);
 }
 
 // A process that ends again and again, each time as soon as it has begun.
