Leases are renewed and tasks started only on fresh knowledge of cancellations

Freshness says how far an owner knows of cancellations: the sending of a watch that was answered, of the first page of jobs, or of the questions that all siblings answered with a promise. Older than cancel_s - lease_s (less drift), reports are answered without a token and nothing is started.

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -189,8 +189,11 @@
         return; // it has only just asked
     }
     auto home = owners_.find(facts_.home);
-    Time complete = home == owners_.end() ? state_answered_
-                                          : std::min(state_answered_, home->second->complete_to());
+    Time complete = now; // without the part there is nothing to know
+    if (home != owners_.end()) {
+        home->second->complete(promises_.complete_to(authority_.term(facts_.home)));
+        complete = home->second->freshness().to();
+    }
     promises_.tick(now, state_answered_, complete, [this](Time at, const std::string& job) {
         index_.saw_final(at, job, Outcome::cancelled);
         for (auto& [part, owner] : owners_) {
--- a/src/core/durable.cpp
+++ b/src/core/durable.cpp
@@ -124,7 +124,9 @@
 }
 
 void PartOwner::cancelled(Time, const std::string& id) {
-    if (jobs_.cancel(id)) {
+    if (loaded_ && !jobs_.find(id)) {
+        jobs_.final(id, Outcome::cancelled); // its guests here are to stop, and it never starts
+    } else if (jobs_.cancel(id)) {
         calls_.log(Level::info, "event=job_cancelled job=" + id);
         borrowing_.stop_job(id, 0);               // on other parts' machines, by their owners
         for (auto& [name, m] : machines_.all()) { // starts that are not out yet never go out
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -34,7 +34,7 @@
       shares_(claim_, facts_, table, holdings_, types_, fleet_,
               {machines_, slots_, roster_, accounts_, lending_, borrowing_, demand_}, calls_,
               *this),
-      watched_at_(now) {
+      fresh_(facts_) {
     load(now, kJobs, "");
 }
 
@@ -87,14 +87,23 @@
     apply(now, *m, report, 0);
     settle(now);
     place_on(now, *m);
-    ReportAnswer answer{m->token(), {}};
-    if (current) {
-        upkeep(*m, answer.commands);
-        if (m->fenced) {
+    ReportAnswer answer;
+    if (fresh_.enough(now)) {
+        answer.token = m->token();
+        if (current && m->fenced && loaded_) {
+            upkeep(*m, answer.commands);
+        } else {
+            stop_cancelled(report, answer.commands);
+        }
+        if (current && m->fenced) {
             auto starts = machines_.send_in_response(*m);
             answer.commands.insert(answer.commands.end(), starts.begin(), starts.end());
         }
     }
+    // Else it has no token: the worker stays with this node and its lease runs on unrenewed (one
+    // that has never seen a token has no tasks, yet counts its lease from here). An owner that does
+    // not know of cancellations, since it has only just claimed the part or since the state service
+    // refuses it, would keep their tasks alive by every answer.
     machines_.renewed(now, *m);
     calls_.answer(request, 200, std::move(answer));
     send_orders(now);
@@ -257,11 +266,21 @@
            (t.task.index < job->spec.tasks && jobs_.durable(*job, t.task.index));
 }
 
-// Clears and stops for what is on the machine and should not be. Both can be repeated.
-void PartOwner::upkeep(Machine& m, std::vector<Command>& out) {
-    if (!loaded_ || !m.fenced) {
-        return; // what is not known yet may be a job's rightful task
+// What upkeep is too early or too late for: a report that is not the newest, a machine that has not
+// shown our token, or jobs not read yet. Nothing but tasks of cancelled jobs is stopped then, but
+// these are, or one that comes back from a cut for a single report would keep them for two leases.
+void PartOwner::stop_cancelled(const Report& report, std::vector<Command>& out) const {
+    for (const auto& t : report.tasks) {
+        if (t.stage != TaskStage::exited && out.size() < kMostCommands &&
+            index_.outcome(t.task.job) == Outcome::cancelled) {
+            out.push_back({Op::stop, t.task, t.attempt, 0});
+        }
     }
+}
+
+// Clears and stops for what is on the machine and should not be, all jobs being known and the
+// machine fenced: else it may be a job's rightful task. Both can be repeated.
+void PartOwner::upkeep(Machine& m, std::vector<Command>& out) {
     m.forget_told();
     for (const auto& t : m.finished) {
         bool guest = !claim_.ours(t.attempt);
@@ -309,7 +328,7 @@
 }
 
 void PartOwner::send_orders(Time now) {
-    if (!claim_.usable(now)) {
+    if (!claim_.usable(now) || !fresh_.enough(now)) {
         return;
     }
     int room = facts_.orders_at_once - orders_out_;
@@ -506,6 +525,12 @@
     if (!loaded_ || !claim_.usable(now)) {
         return;
     }
+    if (bool knows = fresh_.enough(now); knows != knew_) {
+        knew_ = knows;
+        calls_.log(Level::info, std::string("event=cancellations_") +
+                                    (knows ? "known" : "not_known") +
+                                    " part=" + std::to_string(claim_.part()));
+    }
     check_leases(now);
     lending_.fence_lots(now);
     accounts_.ask();
--- a/src/core/part_owner.h
+++ b/src/core/part_owner.h
@@ -7,6 +7,7 @@
 // reports, placing, gangs, durable writes.
 #pragma once
 
+#include "core/freshness.h"
 #include "core/job_index.h"
 #include "core/part_tables.h"
 #include "core/postbox.h"
@@ -50,8 +51,9 @@
     // Tasks done and running of an open job, for display.
     bool counts(const std::string& job, std::uint32_t& done, std::uint32_t& running);
     bool deposed() const { return claim_.deposed(); }
-    // All jobs cancelled up to then are known here.
-    Time complete_to() const { return watched_at_; }
+    const Freshness& freshness() const { return fresh_; }
+    // Every cancellation that any node had seen by then is known here: all siblings have said so.
+    void complete(Time to) { fresh_.complete(to); }
     // A sibling has seen the job cancelled.
     void cancelled(Time now, const std::string& id);
 
@@ -75,6 +77,7 @@
     bool account(Time now, const TaskRef& task, ExitWhy why, const std::string& zone);
     void adopt_listed(Time now, Machine& machine);
     void adopt_own(Time now, Machine& machine, const ListedTask& task);
+    void stop_cancelled(const Report& report, std::vector<Command>& out) const;
     void upkeep(Machine& machine, std::vector<Command>& out);
     void send_orders(Time now);
     void check_leases(Time now);
@@ -169,7 +172,9 @@
     bool loaded_ = false;
     bool settled_ = false;
     bool watching_ = false;
-    Time watched_at_;
+    Freshness fresh_;
+    bool knew_ = true;       // at the last tick
+    Time loading_since_ = 0; // the reading of all jobs that is under way was sent then
     bool saving_ = false;
     Time next_stats_ = 0;
     Time next_save_ = 0;
--- a/src/core/placing.cpp
+++ b/src/core/placing.cpp
@@ -95,8 +95,11 @@
 }
 
 bool PartOwner::waits(Time now, const Job& job) const {
-    return (settled_ || (loaded_ && !job.in_doubt)) && job.open() && !job.waiting.empty() &&
-           now >= job.hold_until && (job.spec.kind != JobKind::gang || gangs_.may_place(now, job));
+    // After an outage for all, an owner whose claim had outlived it once started replicas of a job
+    // that had been cancelled before, until the first answer of its watch.
+    return fresh_.enough(now) && (settled_ || (loaded_ && !job.in_doubt)) && job.open() &&
+           !job.waiting.empty() && now >= job.hold_until &&
+           (job.spec.kind != JobKind::gang || gangs_.may_place(now, job));
 }
 
 void PartOwner::place(Time now) {
--- a/src/core/promises.cpp
+++ b/src/core/promises.cpp
@@ -60,7 +60,8 @@
                     sibling.reaches = reply.promise->reaches;
                     bool current = ask.term != 0 && authority_.holds(home_) &&
                                    authority_.term(home_) == ask.term;
-                    if (!reply.promise->given || !current) {
+                    // It looked back by one lease more than it was asked to, for what came late.
+                    if (!reply.promise->given || !current || at - sent > lease_s_) {
                         return;
                     }
                     for (const auto& job : reply.promise->cancelled) {
@@ -69,7 +70,9 @@
                     if (sibling.term != ask.term) {
                         sibling.term = ask.term;
                         sibling.until = 0;
+                        sibling.told_to = -1;
                     }
+                    sibling.told_to = std::max(sibling.told_to, sent);
                     // Its clock began to count when the question came, after it was sent.
                     sibling.until = std::max(sibling.until, sent + ask.for_s * (1 - kDrift));
                     count();
@@ -86,6 +89,14 @@
     authority_.promised(home_, until);
 }
 
+Time Promises::complete_to(std::uint64_t term) const {
+    Time to = siblings_.empty() ? -1 : siblings_.begin()->second.told_to;
+    for (const auto& [node, sibling] : siblings_) {
+        to = sibling.term == term ? std::min(to, sibling.told_to) : -1;
+    }
+    return to;
+}
+
 std::pair<bool, bool> Promises::lately(Time now) const {
     bool any = false;
     bool reaches = false;
@@ -114,8 +125,9 @@
         ask.for_s > longest_s_) {
         return reply;
     }
-    // Every user that was told of a cancelled job was told by some node; this one says what it
-    // knows of from before the asking node lost contact, and some time more, since a watch may lag.
+    // Every user that was told of a cancelled job was told by some node; this one names all that it
+    // has seen since the asking node's knowledge was complete, and one lease more, as the question
+    // may have come late.
     Time since = now - ask.silent_s - lease_s_;
     auto cancelled = index_.cancelled_since(since);
     if (started > since || !cancelled) {
--- a/src/core/promises.h
+++ b/src/core/promises.h
@@ -28,11 +28,14 @@
     bool in_contact(Time now, Time contact) const;
 
     // ---- As the one who asks ----
-    // `contact`: when the state service last answered this node. `complete_to`: see
-    // PromiseAsk::silent_s. `cancelled` is told of each job that siblings have seen cancelled,
-    // before their promise counts.
+    // `contact`: when the state service last answered this node. `complete_to`: every cancellation
+    // that any node had seen by then is known here. `cancelled` is told of each job that siblings
+    // have seen cancelled since, before their promise counts.
     using Cancelled = std::function<void(Time, const std::string&)>;
     void tick(Time now, Time contact, Time complete_to, const Cancelled& cancelled);
+    // Every cancellation that any node had seen by then has been named to this node, under the
+    // claim of this term: all siblings have said so.
+    Time complete_to(std::uint64_t term) const;
     // A sibling has the state service and this node has not: it alone is cut off.
     bool alone(Time now) const;
     // Siblings have answered of late, and none of them has the state service either.
@@ -51,7 +54,8 @@
         Time answered = -1; // never
         bool reaches = false;
         std::uint64_t term = 0;
-        Time until = 0; // of its promise for that term
+        Time until = 0;    // of its promise for that term
+        Time told_to = -1; // what it had seen cancelled by then, it has named under that term
     };
     void ask(Time now, Time complete_to, const std::string& node, const Cancelled& cancelled);
     void count();
--- a/src/core/takeover.cpp
+++ b/src/core/takeover.cpp
@@ -9,6 +9,9 @@
 namespace orchidlanding {
 
 void PartOwner::load(Time now, std::string prefix, std::string after) {
+    if (prefix == kJobs && after.empty()) {
+        loading_since_ = now;
+    }
     bool sent = calls_.send_state(
         now, StateBudget::Use::user, Range{prefix, after},
         [this, prefix, after](Time at, CallReply& reply) {
@@ -35,6 +38,8 @@
 
 void PartOwner::loaded(Time now, const std::string& prefix) {
     if (prefix == kJobs) {
+        fresh_.complete(
+            loading_since_); // what changed since the first page was asked for is watched
         if (loaded_) {
             return; // read again because the watch had fallen behind
         }
@@ -185,11 +190,13 @@
         return;
     }
     watching_ = calls_.send_state(now, StateBudget::Use::user,
-                                  Watch{kJobs, watch_from_, facts_.lease_s / 3},
-                                  [this](Time at, CallReply& reply) {
+                                  Watch{kJobs, watch_from_, Freshness::watch_s(facts_)},
+                                  [this, sent = now](Time at, CallReply& reply) {
                                       watching_ = false;
                                       if (reply.status == 200) {
-                                          watched_at_ = at;
+                                          // Not to when the answer came: it may have waited through
+                                          // a refusal, in which it heard nothing.
+                                          fresh_.complete(sent);
                                           watch_from_ = std::max(watch_from_, reply.revision);
                                           for (const auto& item : reply.items) {
                                               take_record(at, item);
--- /dev/null
+++ b/tests/meetings_test.cpp
@@ -0,0 +1,365 @@
+// Two troubles at once: from a cancellation that users were told of to the last task. See "From a
+// cancellation to the last task" in docs/design.md.
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+#include "core/freshness.h"
+#include "core/parts.h"
+#include "world.h"
+
+namespace orchidlanding::test {
+namespace {
+
+int red(const World& w) { return part_of_team(w.facts(0), "red"); }
+
+// What meets the refusal of the leader, the cancellations and the outage.
+enum class With {
+    nothing,
+    confirming_node_ends_briefly, // right after its answer, back after 0.02 s
+    confirming_node_ends,         // back after 0.3 s
+    confirming_node_ends_long,    // back after 6 s
+    peers_refuse,
+    sibling_cut_off,
+    leader_frozen,
+    many_cancellations,
+    deaf_machines,
+    late_reports,
+    late_writes,
+    held_orders,
+    share_moves,
+    leader_ends,
+    confirmed_in_the_outage_too, // by the nodes that reach the state service at its end
+    silent_state,                // the leader gets no answers instead of refusals
+    count
+};
+constexpr const char* kWith[] = {"nothing",
+                                 "confirming_node_ends_briefly",
+                                 "confirming_node_ends",
+                                 "confirming_node_ends_long",
+                                 "peers_refuse",
+                                 "sibling_cut_off",
+                                 "leader_frozen",
+                                 "many_cancellations",
+                                 "deaf_machines",
+                                 "late_reports",
+                                 "late_writes",
+                                 "held_orders",
+                                 "share_moves",
+                                 "leader_ends",
+                                 "confirmed_in_the_outage_too",
+                                 "silent_state"};
+constexpr int kWiths = static_cast<int>(With::count);
+
+// The lease times of the deployments, with the largest of the three ratios of lease to cancel_s.
+struct Times {
+    double report_s, lease_s, cancel_s;
+};
+constexpr Times kTimes[] = {{3, 17, 42}, {6, 31, 56}, {8, 38, 63}};
+
+struct Day {
+    With with = With::nothing;
+    int times = 0;
+    double refused_s = 4; // before the outage
+    double told_at = 0;   // of that time: when the users are told
+    bool by_several = false;
+};
+
+// A leader that the state service refuses alone; cancellations confirmed by others; then an outage
+// for all, longer than `cancel_s`. Long tasks: arrays, a gang and replicas, of two teams, on the
+// machines of all parts. Returns how long the last task of a cancelled job was left.
+double play(const Day& day) {
+    const Times& t = kTimes[day.times];
+    bool many = day.with == With::many_cancellations;
+    World w({.seed = 1 + static_cast<std::uint64_t>(day.with),
+             .nodes = 5,
+             .run_s = 3000,
+             .limits = 30,
+             .capacity = 60,
+             .report_s = t.report_s,
+             .lease_s = t.lease_s,
+             .cancel_s = t.cancel_s,
+             .state_rps = many ? 4000.0 : 300.0,
+             .state_write_rps = many ? 2000.0 : 100.0});
+    w.run_for(t.lease_s + 3);
+    std::vector<std::string> to_cancel;
+    auto submit = [&](const std::string& id, JobKind kind, std::uint32_t tasks, const char* team) {
+        JobSpec s = w.job(id, tasks);
+        s.kind = kind;
+        s.team = team;
+        w.submit(static_cast<int>(to_cancel.size()) % 5, s);
+        to_cancel.push_back(id);
+    };
+    for (const char* team : {"red", "blue"}) {
+        std::string n = team;
+        submit("arr-" + n, JobKind::array, 30, team);
+        submit("gang-" + n, JobKind::gang, 6, team);
+        submit("svc-" + n, JobKind::service, 6, team);
+        submit("stay-" + n, JobKind::array, 20, team);
+        to_cancel.pop_back(); // that one is not cancelled
+    }
+    w.run_for(6 * t.report_s + 40);
+    for (int i = 0; many && i < 1100; ++i) {
+        submit("more-" + std::to_string(i), JobKind::array, 1, "red");
+        w.run_for(0.02);
+    }
+    int leader = w.owner(red(w));
+    auto other = [&](int n) { return (leader + 1 + n % 4) % 5; };
+    EXPECT_GE(leader, 0);
+    for (const auto& id : to_cancel) {
+        if (!id.starts_with("more-")) {
+            EXPECT_EQ(w.machines_of({id, 0}).size(), 1u) << id;
+        }
+    }
+
+    if (day.with == With::share_moves) {
+        auto shares = w.shares(red(w));
+        for (std::size_t i = 0; i < shares.size() / 2; ++i) {
+            w.give(red(w), shares[i], part_of_team(w.facts(0), "blue"));
+        }
+    }
+    if (day.with == With::late_reports) {
+        w.troubles.late_reports = 0.3;
+    }
+    if (day.with == With::late_writes) {
+        w.troubles.late_writes = 0.2;
+    }
+    if (day.with == With::held_orders) {
+        w.troubles.held_orders = 0.5;
+    }
+    if (day.with == With::deaf_machines) {
+        int n = 0;
+        for (const auto& machine : w.machines_up()) {
+            if (++n % 4 == 0) {
+                w.deafen(machine, true);
+            }
+        }
+    }
+    bool silent = day.with == With::silent_state;
+    silent ? w.state_silent(leader, true) : w.state_refuses(leader, true);
+    Time refused = w.now();
+    w.run_for(day.refused_s * day.told_at);
+    int n = 0;
+    std::vector<std::pair<std::string, RequestId>> asked;
+    for (const auto& id : to_cancel) {
+        asked.emplace_back(id, w.cancel(other(day.by_several ? n++ : 0), id));
+    }
+    std::optional<double> back;
+    switch (day.with) {
+    case With::confirming_node_ends_briefly: back = 0.02; break;
+    case With::confirming_node_ends: back = 0.3; break;
+    case With::confirming_node_ends_long: back = 6; break;
+    default: break;
+    }
+    if (back) {
+        w.after_output = [&, back](int node, const Call*,
+                                   const Answer* a) -> std::optional<double> {
+            const auto* body = a ? std::get_if<JobAnswer>(&a->body) : nullptr;
+            return body && body->stage == "cancelled" && node == other(0) ? back : std::nullopt;
+        };
+    }
+    // An answer takes a moment, and there may be many.
+    w.run_for(std::max(0.3, refused + day.refused_s - w.now()));
+    w.after_output = nullptr;
+    w.state_down(true);
+    std::size_t told = 0;
+    for (const auto& [id, request] : asked) {
+        auto answer = w.answers.find(request);
+        told += answer != w.answers.end() && answer->second.status == 200;
+    }
+    EXPECT_GE(told, 1u);
+    switch (day.with) {
+    case With::peers_refuse:
+    case With::sibling_cut_off:
+        for (int a = 0; a < 5; ++a) {
+            for (int b = 0; b < (day.with == With::peers_refuse ? 5 : 1); ++b) {
+                w.cut_peers(a, day.with == With::peers_refuse ? b : other(1), true);
+            }
+        }
+        break;
+    case With::leader_frozen: w.freeze(leader, t.lease_s); break;
+    case With::leader_ends: w.crash(leader, 0.3); break;
+    default: break;
+    }
+    w.run_for(t.cancel_s + 30);
+    if (day.with == With::confirmed_in_the_outage_too) {
+        // Back for the others and not for the leader, for as long as it takes to tell a user; the
+        // promises that the leader had have not ended.
+        w.state_down(false);
+        w.run_for(0.4);
+        w.cancel(other(1), "stay-red");
+        w.cancel(other(2), "stay-blue");
+        w.run_for(0.4);
+        w.state_down(true);
+        w.run_for(t.cancel_s + 30);
+    }
+    w.state_down(false);
+    w.state_silent(leader, false);
+    w.state_refuses(leader, false);
+    w.troubles = {};
+    for (const auto& machine : w.machines_up()) {
+        w.deafen(machine, false);
+    }
+    for (int a = 0; a < 5; ++a) {
+        for (int b = 0; b < 5; ++b) {
+            w.cut_peers(a, b, false);
+        }
+    }
+    w.run_for(t.cancel_s + 3 * t.lease_s);
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+    for (const auto& [id, request] : asked) {
+        auto answer = w.answers.find(request);
+        if (answer != w.answers.end() && answer->second.status == 200) {
+            EXPECT_EQ(w.outcomes().at(id), Outcome::cancelled) << id;
+        }
+    }
+    if (day.with != With::confirmed_in_the_outage_too) {
+        for (const char* id : {"stay-red", "stay-blue"}) { // not lost with the others
+            EXPECT_EQ(w.machines_of({id, 0}).size(), 1u) << id << w.describe(id);
+        }
+    }
+    return w.longest_cancelled() / t.cancel_s;
+}
+
+class Meetings : public testing::TestWithParam<int> {};
+
+TEST_P(Meetings, OfARefusalOfOneAndAnOutageOfAllKeepNoCancelledTask) {
+    int with = GetParam();
+    int rounds = std::getenv("ORCHIDLANDING_SEEDS") ? 27 : 3;
+    double longest = 0;
+    int round = 0;
+    for (int times = 0; times < 3; ++times) {
+        const Times& t = kTimes[times];
+        // From half a second to longer than the part's lease.
+        const double refused[] = {0.5, 0.4 * t.lease_s, 0.8 * t.lease_s};
+        for (int r = 0; r < 3; ++r) {
+            for (double told_at : {0.0, 0.5, 0.95}) {
+                // In CI one of nine for each of the times, another one with each trouble.
+                int k = static_cast<int>(told_at * 2 + 0.2) + 3 * r;
+                if (rounds == 27 || k == (with * 4 + times * 5) % 9) {
+                    SCOPED_TRACE(std::string(kWith[with]) + " lease " + std::to_string(t.lease_s) +
+                                 " refused " + std::to_string(refused[r]) + " told at " +
+                                 std::to_string(told_at));
+                    longest = std::max(longest, play({static_cast<With>(with), times, refused[r],
+                                                      told_at, round % 2 != 0}));
+                    ++round;
+                }
+            }
+        }
+    }
+    EXPECT_EQ(round, rounds);
+    std::printf("last task of a cancelled job gone after %.2f of cancel_s\n", longest);
+    RecordProperty("longest_of_cancel_s", std::to_string(longest));
+}
+INSTANTIATE_TEST_SUITE_P(Troubles, Meetings, testing::Range(0, kWiths),
+                         [](const auto& p) { return kWith[p.param]; });
+
+// ---- One by one ----
+
+// The day on which `red`'s owner is back at once, and then nobody has the state service: its claim
+// stands and all siblings promise, but it could not read the jobs. It answered its workers for as
+// long as the outage lasted, while another node had told users of a cancellation.
+TEST(MeetingsAlone, AnOwnerThatCouldNotReadTheJobsKeepsNoTask) {
+    World w({.nodes = 5, .run_s = 3000, .limits = 30, .capacity = 60});
+    w.run_for(40);
+    w.submit(0, w.job("req-1", 20));
+    w.submit(1, w.job("req-2", 20));
+    w.run_for(40);
+    int leader = w.owner(red(w));
+    ASSERT_EQ(w.machines_of({"req-1", 0}).size(), 1u);
+    w.crash(leader, 0.02);
+    int life = 0; // the jobs do not come in time
+    w.intercept = [&](int node, const CallBody& call) {
+        const auto* range = std::get_if<Range>(&call);
+        return node == leader && range && range->prefix == kJobs && ++life > 0;
+    };
+    RequestId id = w.cancel((leader + 1) % 5, "req-1");
+    w.run_for(2);
+    ASSERT_EQ(w.answers.at(id).status, 200);
+    ASSERT_GT(life, 0);
+    w.state_down(true);
+    w.run_for(80);
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+    EXPECT_LT(w.longest_cancelled(), w.facts(0).cancel_s);
+    w.intercept = nullptr;
+    w.state_down(false);
+    w.run_for(60);
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+    EXPECT_EQ(w.machines_of({"req-2", 0}).size(), 1u);
+}
+
+// Guests of a cancelled job on the machines of the node that alone is refused: their own owner told
+// users and cannot reach this one with its words, only promises get through.
+TEST(MeetingsAlone, APromiseStopsGuestsOfTheCancelledJobToo) {
+    World w({.nodes = 5, .run_s = 3000, .limits = 30, .capacity = 60});
+    w.run_for(40);
+    w.submit(0, w.job("req-1", 60)); // on the machines of every part
+    w.run_for(60);
+    int owner = w.owner(red(w));
+    // The node with the most guests among those that own no team's part.
+    int host = (owner + 1) % 5;
+    auto guests_at = [&](int node) {
+        int n = 0;
+        for (std::uint32_t i = 0; i < 60; ++i) {
+            for (const auto& machine : w.machines_of({"req-1", i})) {
+                n += w.node_of(machine) == node;
+            }
+        }
+        return n;
+    };
+    ASSERT_GT(guests_at(host), 0);
+    w.state_refuses(host, true);
+    w.intercept = [&](int node, const CallBody& call) {
+        const auto* peer = std::get_if<PeerCall>(&call);
+        return peer && (node == host || peer->node == "n" + std::to_string(host));
+    };
+    w.run_for(0.5);
+    RequestId id = w.cancel((host + 1) % 5, "req-1");
+    w.run_for(0.5);
+    ASSERT_EQ(w.answers.at(id).status, 200);
+    w.state_down(true);
+    w.run_for(80);
+    EXPECT_EQ(guests_at(host), 0);
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+    EXPECT_LT(w.longest_cancelled(), w.facts(0).cancel_s);
+}
+
+// The owner ends while a machine with a long task cannot be reached. The machine comes back at the
+// end of its lease for one report, and does not hear another answer for a while: that one answer
+// has to carry the stop, though the machine has not shown the new owner's token.
+TEST(MeetingsAlone, OneAnswerToAMachineThatWasCutOffCarriesTheStop) {
+    World w({.nodes = 5,
+             .run_s = 3000,
+             .limits = 30,
+             .capacity = 60,
+             .report_s = 6,
+             .lease_s = 31,
+             .cancel_s = 56});
+    w.run_for(60);
+    w.submit(0, w.job("req-1", 4));
+    w.run_for(60);
+    std::string machine = *w.machines_of({"req-1", 0}).begin();
+    int owner = w.node_of(machine);
+    w.cut_machine(machine, true);
+    w.cloud_down(true); // nor can it be released
+    w.run_for(0.5);
+    RequestId id = w.cancel((owner + 1) % 5, "req-1");
+    w.run_for(0.5);
+    ASSERT_EQ(w.answers.at(id).status, 200);
+    w.crash(owner, 0.3);
+    w.run_for(27);
+    ASSERT_EQ(w.machines_of({"req-1", 0}).size(), 1u); // its lease has not ended
+    w.cut_machine(machine, false);
+    Time back = w.now();
+    for (int k = 0; k < 1000 && w.renewed(machine) < back; ++k) {
+        w.run_for(0.01);
+    }
+    ASSERT_GE(w.renewed(machine), back);
+    w.deafen(machine, true);
+    w.run_for(60);
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+    EXPECT_LT(w.longest_cancelled(), w.facts(0).cancel_s);
+}
+
+} // namespace
+} // namespace orchidlanding::test
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -13,6 +13,7 @@
     int life = 0;
     double rate = 1; // of its steady clock
     bool refused_by_state = false;
+    bool silent_to_state = false; // no answers at all
     bool cut_from_workers = false;
     Time frozen_until = 0;
     std::vector<Input> held; // while it is frozen
@@ -32,7 +33,8 @@
     bool up = false;
     bool dead = false;
     bool cut = false;
-    Time taken = 0; // when the cloud takes it, 0: it has not said so
+    bool deaf = false; // its reports arrive, answers and direct commands do not
+    Time taken = 0;    // when the cloud takes it, 0: it has not said so
     std::uint64_t session = 1;
     std::uint64_t tick = 0;
     std::uint64_t token = 0;
@@ -45,9 +47,6 @@
 };
 
 namespace {
-constexpr double kReport = 3;
-constexpr double kLease = 17;
-
 constexpr double kGangWait = 30;
 constexpr double kGangPeer = 5;
 
@@ -81,9 +80,9 @@
                        {"blue", 0, 0, 4 * options_.limits, 20 * options_.limits}};
         }
         f.objectives = options_.objectives;
-        f.report_s = kReport;
-        f.lease_s = kLease;
-        f.cancel_s = 42;
+        f.report_s = options_.report_s;
+        f.lease_s = options_.lease_s;
+        f.cancel_s = options_.cancel_s;
         f.gang_wait_s = kGangWait;
         f.gang_peer_s = kGangPeer;
         f.state_rps = options_.state_rps;
@@ -104,13 +103,13 @@
             worker_step(name);
         }
         gang_step();
-        for (const auto& [id, since] : told_cancelled_) {
-            if (now_ > since + 42) {
-                for (const auto& [name, w] : workers_) {
-                    for (const auto& [task, t] : w->tasks) {
-                        if (task.job == id && on_machine(t.stage) && !w->dead) {
-                            broken.push_back("ran_cancelled " + id);
-                        }
+        for (const auto& [name, w] : workers_) {
+            for (const auto& [task, t] : w->tasks) {
+                auto told = told_cancelled_.find(task.job);
+                if (told != told_cancelled_.end() && on_machine(t.stage) && !w->dead) {
+                    longest_cancelled_ = std::max(longest_cancelled_, now_ - told->second);
+                    if (now_ > told->second + options_.cancel_s) {
+                        broken.push_back("ran_cancelled " + task.job);
                     }
                 }
             }
@@ -334,6 +333,20 @@
     }
     bool lost = chance(options_.drop);
     bool late = !watch && chance(options_.late);
+    if (std::holds_alternative<Txn>(c.body) && chance(troubles.late_writes)) {
+        at(now_ + options_.report_s / 2, [=, this] { deliver(i, life, none); });
+        if (state_down_ || n.refused_by_state || n.silent_to_state) {
+            return;
+        }
+        at(now_ + std::uniform_real_distribution<>(2, 12)(random_), [=, this] {
+            if (!state_down_) {
+                expire_leases();
+                transact(std::get<Txn>(c.body));
+                fire_watches();
+            }
+        });
+        return;
+    }
     if (lost || late) { // the caller hears nothing; the message may still arrive, much later
         at(now_ + 1.5, [=, this] { deliver(i, life, none); });
         if (lost && chance(0.5)) {
@@ -342,6 +355,18 @@
     }
     double way = late ? std::uniform_real_distribution<>(2, 40)(random_) : delay();
     bool silent = lost || late;
+    if (std::holds_alternative<Orders>(c.body) && chance(troubles.held_orders)) {
+        way = std::uniform_real_distribution<>(2, 12)(random_);
+        silent = true;
+        at(now_ + options_.report_s / 4, [=, this] { deliver(i, life, none); });
+    }
+    // So slow that the caller has given some up.
+    double slow = c.body.index() < 6 && !watch ? troubles.state_slow_s * chance(0.5) : 0;
+    if (slow > options_.report_s / 2) {
+        silent = true;
+        at(now_ + options_.report_s / 2, [=, this] { deliver(i, life, none); });
+    }
+    way += slow;
     at(now_ + way, [=, this] {
         CallReply reply;
         // Between nodes. The reply itself may be lost too; then the call runs out of time.
@@ -395,7 +420,7 @@
         if (std::holds_alternative<Orders>(c.body)) {
             const auto& orders = std::get<Orders>(c.body);
             auto it = workers_.find(orders.machine);
-            if (it == workers_.end() || it->second->dead || it->second->cut ||
+            if (it == workers_.end() || it->second->dead || it->second->cut || it->second->deaf ||
                 nodes_[i]->cut_from_workers) {
                 if (!silent) {
                     at(now_ + 1.5, [=, this] { deliver(i, life, none); });
@@ -428,6 +453,11 @@
                     }
                 }
             }
+        } else if (nodes_[i]->silent_to_state) {
+            if (!silent) {
+                at(now_ + options_.report_s / 2, [=, this] { deliver(i, life, none); });
+            }
+            return;
         } else if (state_down_ || nodes_[i]->refused_by_state) {
             if (watch) {
                 at(now_ + 3, [=, this] { deliver(i, life, none); });
@@ -589,7 +619,8 @@
                 r.items.push_back({key, it->second.record, it->second.version});
             }
         }
-        if (nodes_[w.node]->refused_by_state || (touched.empty() && now_ < w.until)) {
+        bool refused = nodes_[w.node]->refused_by_state || nodes_[w.node]->silent_to_state;
+        if (refused || (touched.empty() && now_ < w.until)) {
             left.push_back(w);
         } else {
             fired.emplace_back(w, r);
@@ -689,7 +720,7 @@
     if (!w.up || w.dead) {
         return;
     }
-    if ((now_ - w.renewed) * w.rate > kLease) {
+    if ((now_ - w.renewed) * w.rate > options_.lease_s) {
         w.tasks.clear();
         ++w.session;
         w.renewed = now_;
@@ -854,7 +885,7 @@
     reports_[request] = [this, name, flight, sent, session, next](const Answer& a) {
         auto w2 = workers_.find(name);
         if (w2 == workers_.end() || w2->second->flight != flight || w2->second->cut ||
-            now_ > sent + 4) {
+            w2->second->deaf || now_ > sent + 4) {
             return;
         }
         Worker& v = *w2->second;
@@ -866,14 +897,14 @@
         if (a.status == 200) {
             const auto& body2 = std::get<ReportAnswer>(a.body);
             if (body2.token < v.token) {
-                next(kReport);
+                next(options_.report_s);
                 return;
             }
             bool higher = body2.token > v.token;
             v.token = body2.token;
             v.renewed = std::max(v.renewed, sent);
             execute(v, body2.commands);
-            next(higher ? 0.5 : kReport * 0.9);
+            next(higher ? 0.5 : options_.report_s * 0.9);
             return;
         }
         if (a.status == 421) {
@@ -903,6 +934,10 @@
     int node = w.node;
     double way = late ? std::uniform_real_distribution<>(2, 40)(random_) : delay();
     at(now_ + way, [this, node, request, body] { input(node, WorkerReport{request, body}); });
+    if (chance(troubles.late_reports)) {
+        double copy = std::uniform_real_distribution<>(2, 1.5 * options_.lease_s)(random_);
+        at(now_ + copy, [this, node, body] { deliver_late(node, body); });
+    }
 }
 
 void World::deliver_late(int node, const Report& report) {
@@ -914,6 +949,8 @@
 // ---- Faults and truth ----
 
 void World::state_refuses(int node, bool refuses) { nodes_[node]->refused_by_state = refuses; }
+void World::state_silent(int node, bool silent) { nodes_[node]->silent_to_state = silent; }
+void World::deafen(const std::string& machine, bool deaf) { workers_.at(machine)->deaf = deaf; }
 void World::cut_workers(int node, bool cut) { nodes_[node]->cut_from_workers = cut; }
 void World::cut_peers(int a, int b, bool cut) {
     for (auto pair : {std::pair(a, b), std::pair(b, a)}) {
@@ -982,6 +1019,8 @@
 
 int World::node_of(const std::string& machine) const { return workers_.at(machine)->node; }
 
+Time World::renewed(const std::string& machine) const { return workers_.at(machine)->renewed; }
+
 std::string World::zone_of(const std::string& machine) const { return workers_.at(machine)->zone; }
 
 bool World::all_done(const std::string& job) const {
--- a/tests/world.h
+++ b/tests/world.h
@@ -25,6 +25,9 @@
     std::size_t capacity = 12; // machines that the cloud has
     double drift = 0.0005;     // steady clocks differ by up to this
     std::vector<Objective> objectives;
+    double report_s = 3;
+    double lease_s = 17;
+    double cancel_s = 42;
     double state_rps = 100;
     double state_write_rps = 20;
     bool one_zone = false; // else two, with the nodes in turn
@@ -65,9 +68,12 @@
     std::size_t logged(const std::string& event) const;
     void state_down(bool down) { state_down_ = down; }
     void state_refuses(int node, bool refuses);
+    void state_silent(int node, bool silent); // it hears nothing from the state service
     void cut_workers(int node, bool cut);
     void cut_peers(int a, int b, bool cut);
     void cut_machine(const std::string& machine, bool cut);
+    // Its reports arrive, answers and direct commands do not.
+    void deafen(const std::string& machine, bool deaf);
     void kill_machine(const std::string& machine);
     // The cloud says that it takes the machine, and does so then.
     void take_machine(const std::string& machine, double notice_s);
@@ -75,11 +81,28 @@
     // The cloud rents no more than so many at once from now on.
     void limit_cloud(std::size_t machines) { options_.capacity = machines; }
 
+    // Shares of messages, from now on: transactions without an answer, carried out 2 to 12 s later,
+    // after newer ones; copies of reports that arrive up to one and a half leases later; direct
+    // commands without an answer, executed 2 to 12 s later. Seconds that the state service takes
+    // for half of what it is asked.
+    struct Troubles {
+        double late_writes = 0;
+        double late_reports = 0;
+        double held_orders = 0;
+        double state_slow_s = 0;
+    };
+    Troubles troubles;
+
     // What is true.
+    // The longest time that a task was on a machine after its user had been told of the
+    // cancellation.
+    double longest_cancelled() const { return longest_cancelled_; }
     std::vector<std::string> machines_up() const;
     std::set<std::string> machines_of(const TaskRef& task) const;
     std::string zone_of(const std::string& machine) const;
     int node_of(const std::string& machine) const; // that it reports to
+    Time
+    renewed(const std::string& machine) const; // its lease: the report answered last was sent then
     bool all_done(const std::string& job) const;
     int starts(const TaskRef& task) const;
     // Times that all tasks of a gang began to run together, and that they saved in good order.
@@ -199,6 +222,7 @@
     std::map<RequestId, std::function<void(const Answer&)>> reports_;
     std::map<std::string, JobSpec> specs_;
     std::map<std::string, Time> told_cancelled_;
+    double longest_cancelled_ = 0;
     std::map<std::string, std::string> told_final_;
     std::map<std::string, std::set<std::uint32_t>> done_;
     std::map<TaskRef, int> starts_;
