--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -1180,7 +1180,8 @@
         return;
     }
     auto again = std::make_shared<std::function<void()>>();
-    *again = [this, again] {
+    std::weak_ptr<std::function<void()>> weak = again;
+    *again = [this, weak] {
         std::vector<int> ready;
         for (int n = 0; n < options_.nodes; ++n) {
             if (nodes_[n]->core && now_ >= nodes_[n]->frozen_until && probe(n) == 200) {
@@ -1195,9 +1196,11 @@
                 poll(ready[random_() % ready.size()], id);
             }
         }
-        at(now_ + 5, *again);
+        if (auto self = weak.lock()) {
+            at(now_ + 5, [self] { (*self)(); });
+        }
     };
-    at(now_, *again);
+    at(now_, [again] { (*again)(); });
 }
 
 double World::longest_unanswered() const {
