Tests: a judge of what users are told and how they are served; more troubles in the world

The world can lose answers of transactions alone, keep reports for the next owner, make machines mute, hung, or up within two seconds, slow links, look closely, cancel at the end and ask odd things.

--- /dev/null
+++ b/tests/judge.cpp
@@ -0,0 +1,295 @@
+#include "judge.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace orchidlanding::test {
+
+Judge::Judge(double cancel_s, std::vector<TeamFacts> teams, std::vector<MachineType> types)
+    : cancel_s_(cancel_s), teams_(std::move(teams)), types_(std::move(types)) {}
+
+bool Judge::can_run(const JobSpec& s) const {
+    auto team =
+        std::find_if(teams_.begin(), teams_.end(), [&](const auto& t) { return t.name == s.team; });
+    double times = s.kind == JobKind::array ? 1 : s.tasks;
+    return team != teams_.end() && team->allows(s.cpus * times, s.gpus * times) &&
+           std::any_of(types_.begin(), types_.end(), [&](const MachineType& t) {
+               bool here =
+                   !s.zone || std::find(t.zones.begin(), t.zones.end(), *s.zone) != t.zones.end();
+               return s.allows_type(t.name) && here && s.cpus <= t.cpus && s.gpus <= t.gpus &&
+                      s.ram_gb <= t.ram_gb;
+           });
+}
+
+// ---- Users ----
+
+void Judge::asked(Time now, RequestId request, Ask what, const std::string& job) {
+    asked_[request] = {what, job, now};
+    if (what == Ask::cancel) {
+        cancel_asked_.insert(job);
+    }
+}
+
+void Judge::submitted(Time now, const JobSpec& spec) {
+    specs_.try_emplace(spec.id, spec);
+    submitted_.emplace(spec.id, now);
+}
+
+void Judge::answered(Time now, const Answer& a) {
+    auto request = asked_.find(a.request);
+    if (request == asked_.end()) { // a health check's
+        return;
+    }
+    const auto& [what, id, when] = request->second;
+    auto before = accepted_.find(id);
+    bool known = before != accepted_.end() && before->second < when;
+    if (known && (a.status == 404 || a.status == 400 || a.status == 422)) {
+        broken.push_back("forgotten " + id + " " + std::to_string(a.status));
+    }
+    if (known && a.status == 201) {
+        broken.push_back("forgotten " + id + " accepted again");
+    }
+    if (a.status == 200 && !specs_.contains(id)) {
+        broken.push_back("invented " + id);
+    }
+    if (auto since = unanswered_since_.find(id);
+        since != unanswered_since_.end() && (a.status == 200 || a.status == 404)) {
+        longest_unanswered_ = std::max(longest_unanswered_, now - since->second);
+        since->second = now;
+    }
+    const auto* job = std::get_if<JobAnswer>(&a.body);
+    if (!job || a.status > 201 || !specs_.contains(id)) {
+        return;
+    }
+    if (!can_run(specs_.at(id))) {
+        broken.push_back("accepted though it cannot run " + id);
+    }
+    if (accepted_.emplace(id, now).second && over_) {
+        unanswered_since_[id] = now;
+    }
+    bool over = job->stage == "done" || job->stage == "cancelled";
+    if (auto told = final_.find(id);
+        told != final_.end() && told->second.stage != job->stage &&
+        (over || told->second.when < when)) { // two outcomes are one too many whenever asked for
+        broken.push_back("went_back " + id + " " + told->second.stage + " " + job->stage);
+    }
+    if (job->stage == "done" && !all_done(id)) {
+        broken.push_back("not_done " + id);
+    }
+    if (job->stage == "cancelled" && !cancel_asked_.contains(id)) {
+        broken.push_back("went_back " + id + " cancelled by nobody");
+    }
+    if (over) {
+        final_.emplace(id, Told{job->stage, now});
+        unanswered_since_.erase(id);
+    }
+}
+
+std::string Judge::told(const std::string& job) const {
+    auto it = final_.find(job);
+    return it == final_.end() ? "" : it->second.stage;
+}
+
+std::vector<std::string> Judge::open() const {
+    std::vector<std::string> out;
+    for (const auto& [id, when] : accepted_) {
+        if (!final_.contains(id)) {
+            out.push_back(id);
+        }
+    }
+    return out;
+}
+
+double Judge::longest_unanswered(Time now) const {
+    double longest = longest_unanswered_;
+    for (const auto& [id, since] : unanswered_since_) {
+        longest = std::max(longest, now - since);
+    }
+    return longest;
+}
+
+// ---- Machines ----
+
+void Judge::started(Time now, const TaskRef& task, Time left) {
+    began_.emplace(task.job, now);
+    idle_since_.erase(task.job);
+    auto told = final_.find(task.job);
+    if (told == final_.end() || told->second.stage != "cancelled") {
+        return;
+    }
+    Time since = told->second.when;
+    (left > since ? late_starts_.left_after : late_starts_.left_before) += 1;
+    late_starts_.longest_s = std::max(late_starts_.longest_s, now - since);
+    late_starts_.longest_left = std::max(late_starts_.longest_left, left - since);
+}
+
+void Judge::completed(const TaskRef& task) { done_[task.job].insert(task.index); }
+
+bool Judge::done(const TaskRef& task) const {
+    auto it = done_.find(task.job);
+    return it != done_.end() && it->second.contains(task.index);
+}
+
+void Judge::there(Time now, const TaskRef& task) {
+    auto told = final_.find(task.job);
+    if (told == final_.end() || told->second.stage != "cancelled") {
+        return;
+    }
+    longest_cancelled_ = std::max(longest_cancelled_, now - told->second.when);
+    if (now > told->second.when + cancel_s_) {
+        broken.push_back("ran_cancelled " + task.job);
+    }
+}
+
+bool Judge::all_done(const std::string& job) const {
+    auto it = done_.find(job);
+    return it != done_.end() && it->second.size() == specs_.at(job).tasks;
+}
+
+std::optional<double> Judge::began_after(const std::string& job) const {
+    auto it = began_.find(job);
+    return it == began_.end() ? std::nullopt : std::optional(it->second - submitted_.at(job));
+}
+
+// ---- Idle beside waiting ----
+
+void Judge::troubles_over(Time now) {
+    over_ = true;
+    unanswered_since_.clear();
+    longest_unanswered_ = 0;
+    for (const auto& id : open()) {
+        unanswered_since_[id] = now;
+    }
+    idle_since_.clear();
+    longest_idle_ = 0;
+}
+
+bool Judge::could_start(const Standing& job, const std::vector<Room>& rooms,
+                        const std::map<std::string, std::pair<double, double>>& used) const {
+    const JobSpec& s = specs_.at(job.job);
+    bool gang = s.kind == JobKind::gang;
+    if (gang && !job.in_zone.empty()) {
+        return false; // under way
+    }
+    double times = gang ? s.tasks : 1;
+    auto team =
+        std::find_if(teams_.begin(), teams_.end(), [&](const auto& t) { return t.name == s.team; });
+    auto taken = used.find(s.team);
+    auto [cpus, gpus] = taken == used.end() ? std::pair(0.0, 0.0) : taken->second;
+    if (!team->allows(cpus + times * s.cpus, gpus + times * s.gpus)) {
+        return false;
+    }
+    std::map<std::string, double> fit; // tasks, by zone
+    for (const Room& r : rooms) {
+        if ((s.zone && *s.zone != r.zone) || (r.spot && !s.spot) || !s.allows_type(r.type->name)) {
+            continue;
+        }
+        double n = s.tasks;
+        for (auto [need, has] : {std::pair(s.cpus, r.cpus), std::pair(s.gpus, r.gpus),
+                                 std::pair(s.ram_gb, r.ram_gb)}) {
+            n = need > 0 ? std::min(n, std::floor((has + 1e-9) / need)) : n;
+        }
+        fit[r.zone] += n;
+    }
+    double most = s.spread ? (s.tasks + 1) / 2 : s.tasks; // in one zone
+    double all = 0;
+    double best = 0;
+    for (const auto& [zone, n] : fit) {
+        auto there = job.in_zone.find(zone);
+        bool alone = job.in_zone.empty() || (there != job.in_zone.end() && job.in_zone.size() == 1);
+        double held = there == job.in_zone.end() ? 0 : there->second;
+        double may = s.one_zone && !alone ? 0 : std::max(0.0, std::min(n, most - held));
+        all += may;
+        best = std::max(best, may);
+    }
+    return (s.one_zone ? best : all) >= times;
+}
+
+void Judge::look(Time now, const std::vector<Room>& rooms, const std::vector<Standing>& jobs,
+                 const std::map<std::string, std::pair<double, double>>& used) {
+    if (!over_) {
+        return;
+    }
+    std::map<std::string, Time> since;
+    for (const auto& job : jobs) {
+        if (accepted_.contains(job.job) && !final_.contains(job.job) &&
+            !cancel_asked_.contains(job.job) && job.waiting > 0 && could_start(job, rooms, used)) {
+            auto it = idle_since_.find(job.job);
+            Time from = since[job.job] = it == idle_since_.end() ? now : it->second;
+            if (now - from > longest_idle_) {
+                longest_idle_ = now - from;
+                idlest_ = job.job;
+            }
+        }
+    }
+    idle_since_ = std::move(since);
+}
+
+// ---- Who was served ----
+
+double Judge::work(const JobSpec& s) { return s.tasks * std::max(s.cpus, s.gpus) * s.estimate_s; }
+
+// Is the job one to be served?
+bool Judge::counts(const std::string& id) const {
+    const JobSpec& s = specs_.at(id);
+    return can_run(s) && (told(id) != "cancelled" || s.kind == JobKind::service);
+}
+
+std::map<std::string, std::vector<std::string>> Judge::largest() const {
+    std::map<std::string, std::vector<std::string>> by_class;
+    for (const auto& [id, when] : submitted_) {
+        if (counts(id)) {
+            by_class[specs_.at(id).job_class].push_back(id);
+        }
+    }
+    for (auto& [name, ids] : by_class) {
+        std::stable_sort(ids.begin(), ids.end(), [&](const auto& a, const auto& b) {
+            return work(specs_.at(a)) > work(specs_.at(b));
+        });
+        ids.resize((ids.size() + 3) / 4);
+    }
+    return by_class;
+}
+
+std::vector<std::string> Judge::served_under(double share) const {
+    std::map<std::string, std::pair<int, int>> rows; // served, of how many
+    auto count = [&](const std::string& row, const std::string& id) {
+        const JobSpec& s = specs_.at(id);
+        rows[row].first += s.kind == JobKind::service ? began_.contains(id) : all_done(id);
+        ++rows[row].second;
+    };
+    for (const auto& [id, when] : submitted_) {
+        const JobSpec& s = specs_.at(id);
+        if (counts(id)) {
+            count("class " + s.job_class, id);
+            count("team " + s.team, id);
+        }
+    }
+    for (const auto& [name, ids] : largest()) {
+        for (const auto& id : ids) {
+            count("largest of " + name, id);
+        }
+    }
+    std::vector<std::string> low;
+    for (const auto& [row, n] : rows) {
+        if (n.first < share * n.second) {
+            low.push_back(row + ": " + std::to_string(n.first) + " of " + std::to_string(n.second));
+        }
+    }
+    return low;
+}
+
+std::vector<std::string> Judge::begun_later_than(double seconds, Time now) const {
+    std::vector<std::string> out;
+    for (const auto& [name, ids] : largest()) {
+        for (const auto& id : ids) {
+            if (began_after(id).value_or(now - submitted_.at(id)) > seconds) {
+                out.push_back(id);
+            }
+        }
+    }
+    return out;
+}
+
+} // namespace orchidlanding::test
--- /dev/null
+++ b/tests/judge.h
@@ -0,0 +1,122 @@
+// Judges what users were told and how they were served, from the history alone: every answer
+// against the newest that the user had heard before that request was sent, by whatever node. The
+// rules about machines (ran_twice, quota, wrong_place) are the world's, which sees them. See
+// "Rules" in the protocol.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/io.h"
+
+namespace orchidlanding::test {
+
+class Judge {
+  public:
+    enum class Ask { submit, poll, cancel };
+    // `teams` and `types`: what can run at all.
+    Judge(double cancel_s, std::vector<TeamFacts> teams, std::vector<MachineType> types);
+
+    // Users.
+    void asked(Time now, RequestId request, Ask what, const std::string& job);
+    void submitted(Time now, const JobSpec& spec);
+    void answered(Time now, const Answer& answer);
+
+    // Machines: a task has its image and is on its machine from now on; it completed; a cancelled
+    // job's task is there at this moment. `left`: when its start left the controller.
+    void started(Time now, const TaskRef& task, Time left);
+    void completed(const TaskRef& task);
+    void there(Time now, const TaskRef& task);
+
+    // Every so often: the room that machines have, and what waits. Judged from `troubles_over` on.
+    struct Room {
+        std::string zone;
+        bool spot = false;
+        const MachineType* type = nullptr;
+        double cpus = 0;
+        double gpus = 0;
+        double ram_gb = 0;
+    };
+    struct Standing { // of a job that is open, with tasks that are neither done nor on a machine
+        std::string job;
+        std::uint32_t waiting = 0;
+        std::map<std::string, std::uint32_t> in_zone; // its tasks that are on machines
+    };
+    void troubles_over(Time now);
+    void look(Time now, const std::vector<Room>& rooms, const std::vector<Standing>& jobs,
+              const std::map<std::string, std::pair<double, double>>& used); // cpus, gpus by team
+
+    // What came of it.
+    std::vector<std::string> broken; // rules, in words
+    // No question about an accepted job that is not over was answered for so long.
+    double longest_unanswered(Time now) const;
+    // A job waited for so long beside a machine that fits, its team being under its limit, and no
+    // task of it started.
+    double longest_idle() const { return longest_idle_; }
+    const std::string& idlest() const { return idlest_; }
+    double longest_cancelled() const { return longest_cancelled_; }
+    struct LateStarts {          // after the user was told of the cancellation
+        int left_before = 0;     // the start had left its controller before that ...
+        int left_after = 0;      // ... or left it all the same
+        double longest_s = 0;    // from the user's answer to the task
+        double longest_left = 0; // ... to the start's leaving
+    };
+    const LateStarts& late_starts() const { return late_starts_; }
+
+    bool all_done(const std::string& job) const;
+    bool knows(const std::string& job) const { return specs_.contains(job); }
+    const JobSpec& spec(const std::string& job) const { return specs_.at(job); }
+    std::optional<double> began_after(const std::string& job) const;
+    // The outcome that its user was told: empty, "done" or "cancelled".
+    std::string told(const std::string& job) const;
+    bool done(const TaskRef& task) const;
+    // Accepted, and not told to be over.
+    std::vector<std::string> open() const;
+    // Classes, teams and the largest jobs of each class (a quarter of its jobs, one at least) of
+    // which less than this share is done, or for replicas has been started; jobs that can never run
+    // or whose user was told that they are cancelled aside.
+    std::vector<std::string> served_under(double share) const;
+    // Of the largest jobs, those that began later than this, or not at all by `now`.
+    std::vector<std::string> begun_later_than(double seconds, Time now) const;
+
+  private:
+    struct Told { // to the job's user
+        std::string stage;
+        Time when = 0;
+    };
+    struct Request {
+        Ask what = Ask::poll;
+        std::string job;
+        Time when = 0;
+    };
+    bool can_run(const JobSpec& spec) const;
+    bool counts(const std::string& job) const;
+    bool could_start(const Standing& job, const std::vector<Room>& rooms,
+                     const std::map<std::string, std::pair<double, double>>& used) const;
+    std::map<std::string, std::vector<std::string>> largest() const; // by class
+    static double work(const JobSpec& spec);
+
+    double cancel_s_;
+    std::vector<TeamFacts> teams_;
+    std::vector<MachineType> types_;
+    std::map<RequestId, Request> asked_;
+    std::map<std::string, JobSpec> specs_;
+    std::map<std::string, Time> submitted_;
+    std::map<std::string, Time> accepted_; // a user was first told then
+    std::map<std::string, Told> final_;
+    std::set<std::string> cancel_asked_;
+    std::map<std::string, Time> began_;
+    std::map<std::string, std::set<std::uint32_t>> done_;
+    std::map<std::string, Time> unanswered_since_;
+    bool over_ = false; // the troubles
+    double longest_unanswered_ = 0;
+    std::map<std::string, Time> idle_since_;
+    double longest_idle_ = 0;
+    std::string idlest_;
+    double longest_cancelled_ = 0;
+    LateStarts late_starts_;
+};
+
+} // namespace orchidlanding::test
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -26,6 +26,7 @@
         ExitWhy why = ExitWhy::none;
         Time next = 0; // image there, run over, or saved
         Time since = 0;
+        Time left = 0; // its start left the controller then
     };
     std::string name;
     std::string zone;
@@ -34,7 +35,9 @@
     bool dead = false;
     bool cut = false;
     bool deaf = false; // its reports arrive, answers and direct commands do not
-    Time taken = 0;    // when the cloud takes it, 0: it has not said so
+    bool mute = false; // it reaches no controller, direct commands arrive
+    Time hung_until = 0;
+    Time taken = 0; // when the cloud takes it, 0: it has not said so
     std::uint64_t session = 1;
     std::uint64_t tick = 0;
     std::uint64_t token = 0;
@@ -55,15 +58,26 @@
 }
 } // namespace
 
-std::vector<std::string> World::zones() const {
-    return options_.one_zone ? std::vector<std::string>{"a"} : std::vector<std::string>{"a", "b"};
+std::vector<std::string> World::zones(const WorldOptions& options) {
+    return options.one_zone ? std::vector<std::string>{"a"} : std::vector<std::string>{"a", "b"};
 }
 
-MachineType World::machine_type() const {
-    return {"m8", 8, options_.gpus ? 4.0 : 0.0, 32, 20, 1, 1.0, 0.4, options_.boot_s, zones()};
+MachineType World::machine_type(const WorldOptions& o) {
+    return {"m8", 8, o.gpus ? 4.0 : 0.0, 32, 20, 1, 1.0, 0.4, o.boot_s, zones(o)};
 }
 
-World::World(WorldOptions options) : options_(options), random_(options.seed) {
+std::vector<TeamFacts> World::teams(const WorldOptions& o) {
+    if (o.gpus) {
+        return {{"red", 0, 0, 8 * o.limits, 12 * o.limits},
+                {"blue", 0, 0, 4 * o.limits, 20 * o.limits}};
+    }
+    return {{"red", 16 * o.limits, 24 * o.limits, 0, 0},
+            {"blue", 8 * o.limits, 40 * o.limits, 0, 0}};
+}
+
+World::World(WorldOptions options)
+    : options_(options), type_(machine_type(options)),
+      judge_(options.cancel_s, teams(options), {type_}), random_(options.seed) {
     for (int i = 0; i < options_.nodes; ++i) {
         auto node = std::make_unique<Node>();
         Facts& f = node->facts;
@@ -72,13 +86,8 @@
         for (int j = 0; j < options_.nodes; ++j) {
             f.parts.push_back({"n" + std::to_string(j), j % 2 && !options_.one_zone ? "b" : "a"});
         }
-        f.zones = zones();
-        f.teams = {{"red", 16 * options_.limits, 24 * options_.limits, 0, 0},
-                   {"blue", 8 * options_.limits, 40 * options_.limits, 0, 0}};
-        if (options_.gpus) {
-            f.teams = {{"red", 0, 0, 8 * options_.limits, 12 * options_.limits},
-                       {"blue", 0, 0, 4 * options_.limits, 20 * options_.limits}};
-        }
+        f.zones = zones(options_);
+        f.teams = teams(options_);
         f.objectives = options_.objectives;
         f.report_s = options_.report_s;
         f.lease_s = options_.lease_s;
@@ -105,12 +114,8 @@
         gang_step();
         for (const auto& [name, w] : workers_) {
             for (const auto& [task, t] : w->tasks) {
-                auto told = told_cancelled_.find(task.job);
-                if (told != told_cancelled_.end() && on_machine(t.stage) && !w->dead) {
-                    longest_cancelled_ = std::max(longest_cancelled_, now_ - told->second);
-                    if (now_ > told->second + options_.cancel_s) {
-                        broken.push_back("ran_cancelled " + task.job);
-                    }
+                if (on_machine(t.stage) && !w->dead) {
+                    judge_.there(now_, task);
                 }
             }
         }
@@ -120,15 +125,14 @@
             }
         }
     };
-    auto again = std::make_shared<std::function<void()>>();
-    std::weak_ptr<std::function<void()>> weak = again;
-    *again = [this, step, weak] {
-        step();
-        if (auto self = weak.lock()) {
-            at(now_ + 0.1, [self] { (*self)(); });
-        }
-    };
-    at(0.1, [again] { (*again)(); });
+    every(0.1, step);
+}
+
+void World::every(double seconds, std::function<void()> work) {
+    at(now_ + seconds, [this, seconds, work] {
+        work();
+        every(seconds, work);
+    });
 }
 
 World::~World() = default;
@@ -149,7 +153,9 @@
     now_ = end;
 }
 
-double World::delay() { return std::uniform_real_distribution<>(0.001, 0.02)(random_); }
+double World::delay() {
+    return std::uniform_real_distribution<>(0.001, 0.02 + troubles.slow_links_s)(random_);
+}
 
 // ---- Nodes ----
 
@@ -243,10 +249,15 @@
             auto then = std::move(it->second);
             reports_.erase(it);
             if (!chance(options_.drop)) {
-                at(now_ + delay(), [then, a] { then(a); });
+                at(now_ + delay(), [then, a, left = now_] { then(a, left); });
             }
         } else {
-            note_answer(a);
+            judge_.answered(now_, a);
+            const auto* job = std::get_if<JobAnswer>(&a.body);
+            bool news = job && (a.status == 201 || !judge_.told(job->id).empty());
+            if (news && !looks_.contains(a.request) && trouble(troubles.close_looks)) {
+                look_closely(job->id);
+            }
             answers[a.request] = a;
         }
         if (ends(nullptr, &a)) {
@@ -261,48 +272,47 @@
     }
 }
 
-void World::note_answer(const Answer& a) {
-    auto [what, id, asked] = asked_[a.request];
-    if (what.empty()) { // a health check's
-        return;
-    }
-    // An answer may not be older than what any user was told before it was asked for.
-    auto accepted = accepted_.find(id);
-    bool known = accepted != accepted_.end() && accepted->second < asked;
-    const auto* job = std::get_if<JobAnswer>(&a.body);
-    if (what == "submit" && (a.status == 400 || a.status == 422) && known) {
-        broken.push_back("forgotten " + id);
-    }
-    if (a.status == 404 && known) {
-        broken.push_back("forgotten " + id);
-    }
-    if (a.status == 200 && !specs_.contains(id)) {
-        broken.push_back("invented " + id);
-    }
-    if (auto since = unanswered_since_.find(id);
-        since != unanswered_since_.end() && (a.status == 200 || a.status == 404)) {
-        longest_unanswered_ = std::max(longest_unanswered_, now_ - since->second);
-        since->second = now_;
-    }
-    if (!job || a.status > 201) {
-        return;
-    }
-    accepted_.emplace(id, now_);
-    auto told = told_final_.find(id);
-    if (told != told_final_.end() && told_when_[id] < asked && told->second != job->stage) {
-        broken.push_back("went_back " + id + " " + told->second + " " + job->stage);
+// At all nodes within milliseconds: a poll, the submission once more; sometimes a cancellation.
+void World::look_closely(const std::string& job) {
+    for (double after : {0.001, 0.004, 0.02, 0.1}) {
+        at(now_ + after, [this, job] {
+            for (int n = 0; n < options_.nodes; ++n) {
+                looks_.insert(poll(n, job));
+                looks_.insert(ask(n, Judge::Ask::submit, job));
+            }
+        });
     }
-    if (job->stage == "done") {
-        told_final_[id] = "done";
-        told_when_.emplace(id, now_);
-        if (done_[id].size() != specs_[id].tasks) {
-            broken.push_back("not_done " + id);
-        }
+    if (chance(0.25)) {
+        at(now_ + 0.002, [this, job] {
+            looks_.insert(cancel(static_cast<int>(random_() % nodes_.size()), job));
+        });
     }
-    if (job->stage == "cancelled") {
-        told_final_[id] = "cancelled";
-        told_when_.emplace(id, now_);
-        told_cancelled_.emplace(id, now_);
+}
+
+void World::odd_requests(const std::string& job) {
+    int node = static_cast<int>(random_() % nodes_.size());
+    looks_.insert(ask(node, Judge::Ask::submit, job));
+    if (judge_.told(job) == "done") {
+        looks_.insert(cancel(node, job));
+    }
+    JobSpec unfit = this->job(job + "99999", 1, 1000);
+    submit(node, unfit);
+    unfit.id += "9";
+    unfit.cpus = 1;
+    unfit.types = {"none"};
+    submit(node, unfit);
+    unfit.id += "9";
+    unfit.types = {};
+    unfit.team = "nobody";
+    submit(node, unfit);
+}
+
+// A task has completed; its job's user may call it off at the end of the last one.
+void World::complete(const TaskRef& task) {
+    judge_.completed(task);
+    if (judge_.all_done(task.job) && trouble(troubles.cancel_at_end)) {
+        at(now_ + std::uniform_real_distribution<>(0, 2 * options_.report_s)(random_) * chance(0.5),
+           [this, job = task.job] { cancel(static_cast<int>(random_() % nodes_.size()), job); });
     }
 }
 
@@ -368,6 +378,10 @@
         silent = true;
         at(now_ + options_.report_s / 4, [=, this] { deliver(i, life, none); });
     }
+    if (std::holds_alternative<Txn>(c.body) && trouble(troubles.lost_answers)) {
+        silent = true;
+        at(now_ + options_.report_s / 2, [=, this] { deliver(i, life, none); });
+    }
     // So slow that the caller has given some up.
     double slow = c.body.index() < 6 && !watch ? troubles.state_slow_s * chance(0.5) : 0;
     if (slow > options_.report_s / 2) {
@@ -375,7 +389,7 @@
         at(now_ + options_.report_s / 2, [=, this] { deliver(i, life, none); });
     }
     way += slow;
-    at(now_ + way, [=, this] {
+    at(now_ + way, [=, this, left = now_] {
         CallReply reply;
         // Between nodes. The reply itself may be lost too; then the call runs out of time.
         auto between = [&](const std::string& node, auto ask, auto take) {
@@ -385,7 +399,7 @@
                 return;
             }
             RequestId request = next_request_++ + (1ULL << 40);
-            reports_[request] = [this, i, life, c, silent, take](const Answer& a) {
+            reports_[request] = [this, i, life, c, silent, take](const Answer& a, Time) {
                 if (silent) {
                     return;
                 }
@@ -435,15 +449,28 @@
                 }
                 return;
             }
-            Worker& w = *it->second;
-            if (orders.token < w.token || orders.session != w.session) {
-                reply.status = 409;
-            } else {
-                w.token = orders.token;
-                execute(w, orders.commands);
-                reply.status = 200;
+            auto serve = [this, orders, left](Worker& w, CallReply& to) {
+                if (orders.token < w.token || orders.session != w.session) {
+                    to.status = 409;
+                } else {
+                    w.token = orders.token;
+                    execute(w, orders.commands, left);
+                    to.status = 200;
+                }
+                to.report = report_of(w);
+            };
+            if (now_ < it->second->hung_until) {
+                at(now_ + 1.5, [=, this] { deliver(i, life, none); });
+                at(it->second->hung_until, [this, serve, name = orders.machine] {
+                    auto woken = workers_.find(name);
+                    if (woken != workers_.end() && !woken->second->dead) {
+                        CallReply unheard;
+                        serve(*woken->second, unheard);
+                    }
+                });
+                return;
             }
-            reply.report = report_of(w);
+            serve(*it->second, reply);
         } else if (c.body.index() >= 6) {
             if (cloud_down_) {
                 reply.status = 503;
@@ -451,7 +478,7 @@
                 serve_cloud(i, c);
                 reply.status = 200;
                 if (std::holds_alternative<Catalog>(c.body)) {
-                    reply.types = {machine_type()};
+                    reply.types = {type_};
                 } else if (const auto* rent = std::get_if<Rent>(&c.body)) {
                     reply.names = orders_[rent->order];
                 } else if (std::holds_alternative<ListHosts>(c.body)) {
@@ -527,6 +554,9 @@
         ++revision_;
     }
     for (const auto& c : txn.then) {
+        if (c.put && std::holds_alternative<PartRecord>(*c.put) && !kept_reports_.empty()) {
+            give_kept_reports();
+        }
         if (c.put) {
             kv_[c.key] = {*c.put, revision_, c.lease.value_or(0)};
         } else {
@@ -660,9 +690,14 @@
             names.push_back(name);
             std::string id = name;
             workers_[id] = std::move(w);
-            at(now_ + options_.boot_s, [this, id] {
+            bool quick = trouble(troubles.quick_boots);
+            bool mute = trouble(troubles.mute_boots);
+            double boot_s =
+                quick ? std::uniform_real_distribution<>(0, 2)(random_) : options_.boot_s;
+            at(now_ + boot_s, [this, id, mute] {
                 auto it = workers_.find(id);
                 if (it != workers_.end()) {
+                    it->second->mute = mute;
                     it->second->up = true;
                     it->second->renewed = now_;
                     report(id, 1);
@@ -695,17 +730,18 @@
     return r;
 }
 
-void World::execute(Worker& w, const std::vector<Command>& commands) {
+void World::execute(Worker& w, const std::vector<Command>& commands, Time left) {
     for (const auto& c : commands) {
         auto it = w.tasks.find(c.task);
         if (c.op == Op::start) {
             if (it != w.tasks.end()) {
                 continue; // the same attempt: no effect; another: refused as busy
             }
-            w.tasks[c.task] = {c.attempt, TaskStage::fetching, ExitWhy::none, now_ + 0.5, now_};
+            w.tasks[c.task] = {c.attempt, TaskStage::fetching, ExitWhy::none, now_ + 0.5, now_,
+                               left};
         } else if (it != w.tasks.end() && it->second.attempt == c.attempt) {
             Worker::Task& t = it->second;
-            const JobSpec& spec = specs_[c.task.job];
+            const JobSpec& spec = this->spec(c.task.job);
             if (c.op == Op::stop && t.stage == TaskStage::running && spec.checkpoint_s > 0 &&
                 c.grace_s >= spec.save_s) {
                 t.stage = TaskStage::saving;
@@ -728,20 +764,24 @@
     if (!w.up || w.dead) {
         return;
     }
+    // Hung for longer than its lease it kills its tasks on waking, before anything else.
     if ((now_ - w.renewed) * w.rate > options_.lease_s) {
         w.tasks.clear();
         ++w.session;
         w.renewed = now_;
         report(name, w.session);
     }
+    if (now_ < w.hung_until) {
+        return;
+    }
     bool change = false;
     for (auto& [task, t] : w.tasks) {
         if (t.stage == TaskStage::fetching && now_ >= t.next) {
             comes(w, task);
-            if (specs_[task.job].kind == JobKind::gang) {
+            if (spec(task.job).kind == JobKind::gang) {
                 t.stage = TaskStage::waiting;
                 t.since = now_;
-                if (done_[task.job].contains(task.index)) { // the result is kept
+                if (judge_.done(task)) { // the result is kept
                     t.stage = TaskStage::exited;
                     t.why = ExitWhy::done;
                 }
@@ -750,16 +790,16 @@
             }
             t.stage = TaskStage::running;
             t.next =
-                specs_[task.job].kind == JobKind::service ? 1e12
-                : done_[task.job].contains(task.index)
+                spec(task.job).kind == JobKind::service ? 1e12
+                : judge_.done(task)
                     ? now_
                     : now_ + options_.run_s * std::uniform_real_distribution<>(0.5, 1.5)(random_);
         } else if (t.stage == TaskStage::running && now_ >= t.next &&
-                   specs_[task.job].kind != JobKind::gang) {
+                   spec(task.job).kind != JobKind::gang) {
             t.stage = TaskStage::exited;
             t.why = chance(options_.error) ? ExitWhy::error : ExitWhy::done;
             if (t.why == ExitWhy::done) {
-                done_[task.job].insert(task.index);
+                complete(task);
             }
             change = true;
         }
@@ -772,8 +812,8 @@
 // A task has its image, and is on its machine from now on: the rules about starts hold here.
 void World::comes(Worker& w, const TaskRef& task) {
     ++starts_[task];
-    began_.emplace(task.job, now_);
-    const JobSpec& spec = specs_[task.job];
+    judge_.started(now_, task, w.tasks.at(task).left);
+    const JobSpec& spec = this->spec(task.job);
     std::size_t in_zone = 1;
     for (const auto& [other, o] : workers_) {
         if (o->dead) {
@@ -813,13 +853,14 @@
     };
     for (const auto& [name, w] : workers_) {
         for (const auto& [task, t] : w->tasks) {
-            if (!w->dead && on_machine(t.stage) && specs_[task.job].kind == JobKind::gang) {
+            if (!w->dead && on_machine(t.stage) && now_ >= w->hung_until &&
+                spec(task.job).kind == JobKind::gang) {
                 gangs[{task.job, t.attempt}].emplace_back(w.get(), task);
             }
         }
     }
     for (auto& [key, members] : gangs) {
-        const JobSpec& spec = specs_[key.first];
+        const JobSpec& spec = this->spec(key.first);
         GangRun& run = gang_runs_[key];
         bool whole = members.size() == spec.tasks;
         bool all_saved = whole;
@@ -849,7 +890,7 @@
             }
         } else if (whole && run.first_stop == 0 && now_ >= run.end) {
             for (auto& [w, task] : members) {
-                done_[key.first].insert(task.index);
+                complete(task);
                 leave(*w, task, ExitWhy::done);
             }
         } else if (!whole || run.first_stop > 0) {
@@ -876,6 +917,10 @@
         return;
     }
     Worker& w = *it->second;
+    if (now_ < w.hung_until) {
+        at(w.hung_until, [=, this] { report(name, session); });
+        return;
+    }
     Report body = report_of(w);
     last_reports_[name] = body;
     ++counts_.reports;
@@ -891,10 +936,11 @@
             }
         });
     };
-    reports_[request] = [this, name, flight, sent, session, next](const Answer& a) {
+    reports_[request] = [this, name, flight, sent, session, next](const Answer& a, Time left) {
         auto w2 = workers_.find(name);
         if (w2 == workers_.end() || w2->second->flight != flight || w2->second->cut ||
-            w2->second->deaf || now_ > sent + 4) {
+            w2->second->deaf || w2->second->mute || now_ < w2->second->hung_until ||
+            now_ > sent + 4) {
             return;
         }
         Worker& v = *w2->second;
@@ -912,7 +958,7 @@
             bool higher = body2.token > v.token;
             v.token = body2.token;
             v.renewed = std::max(v.renewed, sent);
-            execute(v, body2.commands);
+            execute(v, body2.commands, left);
             next(higher ? 0.5 : options_.report_s * 0.9);
             return;
         }
@@ -937,21 +983,34 @@
     });
     bool lost = chance(options_.drop);
     bool late = chance(options_.late);
-    if (w.cut || nodes_[w.node]->cut_from_workers || (lost && chance(0.5))) {
+    if (w.cut || w.mute || nodes_[w.node]->cut_from_workers || (lost && chance(0.5))) {
         return;
     }
     int node = w.node;
     double way = late ? std::uniform_real_distribution<>(2, 40)(random_) : delay();
     at(now_ + way, [this, node, request, body] { input(node, WorkerReport{request, body}); });
+    if (trouble(troubles.reports_for_next)) {
+        kept_reports_.push_back(body);
+    }
     if (chance(troubles.late_reports)) {
         double copy = std::uniform_real_distribution<>(2, 1.5 * options_.lease_s)(random_);
         at(now_ + copy, [this, node, body] { deliver_late(node, body); });
     }
 }
 
+void World::give_kept_reports() {
+    for (const auto& report : std::exchange(kept_reports_, {})) {
+        for (int n = 0; n < options_.nodes; ++n) {
+            // Before and after the machine's first true report to the new owner.
+            double after = std::uniform_real_distribution<>(0, 1.5 * options_.report_s)(random_);
+            at(now_ + (chance(0.5) ? after : 0.01), [=, this] { deliver_late(n, report); });
+        }
+    }
+}
+
 void World::deliver_late(int node, const Report& report) {
     RequestId request = next_request_++ + (1ULL << 40);
-    reports_[request] = [](const Answer&) {}; // the worker gave it up long ago
+    reports_[request] = [](const Answer&, Time) {}; // the worker gave it up long ago
     input(node, WorkerReport{request, report});
 }
 
@@ -960,6 +1019,14 @@
 void World::state_refuses(int node, bool refuses) { nodes_[node]->refused_by_state = refuses; }
 void World::state_silent(int node, bool silent) { nodes_[node]->silent_to_state = silent; }
 void World::deafen(const std::string& machine, bool deaf) { workers_.at(machine)->deaf = deaf; }
+void World::mute(const std::string& machine, bool mute) { workers_.at(machine)->mute = mute; }
+void World::hang(const std::string& machine, double seconds) {
+    Worker& w = *workers_.at(machine);
+    w.hung_until = now_ + seconds;
+    for (auto& [task, t] : w.tasks) { // they make no progress
+        t.next += seconds;
+    }
+}
 void World::cut_workers(int node, bool cut) { nodes_[node]->cut_from_workers = cut; }
 void World::cut_peers(int a, int b, bool cut) {
     for (auto pair : {std::pair(a, b), std::pair(b, a)}) {
@@ -1032,16 +1099,6 @@
 
 std::string World::zone_of(const std::string& machine) const { return workers_.at(machine)->zone; }
 
-bool World::all_done(const std::string& job) const {
-    auto it = done_.find(job);
-    return it != done_.end() && it->second.size() == specs_.at(job).tasks;
-}
-
-std::optional<double> World::began_after(const std::string& job) const {
-    auto it = began_.find(job);
-    return it == began_.end() ? std::nullopt : std::optional(it->second - submitted_.at(job));
-}
-
 int World::starts(const TaskRef& task) const {
     auto it = starts_.find(task);
     return it == starts_.end() ? 0 : it->second;
@@ -1051,9 +1108,8 @@
     double sum = 0;
     for (const auto& [name, w] : workers_) {
         for (const auto& [task, t] : w->tasks) {
-            auto spec = specs_.find(task.job);
-            if (spec != specs_.end() && spec->second.team == team && on_machine(t.stage)) {
-                sum += options_.gpus ? spec->second.gpus : spec->second.cpus;
+            if (judge_.knows(task.job) && spec(task.job).team == team && on_machine(t.stage)) {
+                sum += options_.gpus ? spec(task.job).gpus : spec(task.job).cpus;
             }
         }
     }
@@ -1080,33 +1136,8 @@
     return out;
 }
 
-std::vector<std::string> World::served_under(double share) const {
-    std::map<std::string, std::pair<int, int>> rows; // served, of how many
-    std::map<std::string, Outcome> ended = outcomes();
-    for (const auto& [id, spec] : specs_) {
-        auto outcome = ended.find(id);
-        bool cancelled = outcome != ended.end() && outcome->second == Outcome::cancelled;
-        if (cancelled && spec.kind != JobKind::service) {
-            continue;
-        }
-        bool served = spec.kind == JobKind::service ? starts({id, 0}) > 0 : all_done(id);
-        for (const auto& row : {"class " + spec.job_class, "team " + spec.team}) {
-            rows[row].first += served;
-            ++rows[row].second;
-        }
-    }
-    std::vector<std::string> low;
-    for (const auto& [row, count] : rows) {
-        if (count.first < share * count.second) {
-            low.push_back(row + ": " + std::to_string(count.first) + " of " +
-                          std::to_string(count.second));
-        }
-    }
-    return low;
-}
-
 std::string World::describe(const std::string& job) const {
-    const JobSpec& s = specs_.at(job);
+    const JobSpec& s = spec(job);
     std::string out = " kind " + std::to_string(static_cast<int>(s.kind)) + " tasks " +
                       std::to_string(s.tasks) + " cpus " + std::to_string(s.cpus) + " gpus " +
                       std::to_string(s.gpus) + (s.one_zone ? " one_zone" : "") +
@@ -1154,61 +1185,95 @@
     return s;
 }
 
-RequestId World::submit(int node, JobSpec spec) {
+RequestId World::ask(int node, Judge::Ask what, const std::string& job) {
     RequestId id = next_request_++;
-    asked_[id] = {"submit", spec.id, now_};
-    specs_[spec.id] = spec;
-    submitted_.emplace(spec.id, now_);
-    input(node, Submit{id, spec});
+    judge_.asked(now_, id, what, job);
+    if (what == Judge::Ask::submit) {
+        input(node, Submit{id, spec(job)});
+    } else if (what == Judge::Ask::poll) {
+        input(node, Poll{id, job});
+    } else {
+        input(node, Cancel{id, job});
+    }
     return id;
 }
 
-RequestId World::poll(int node, const std::string& job) {
-    RequestId id = next_request_++;
-    asked_[id] = {"poll", job, now_};
-    input(node, Poll{id, job});
-    return id;
+RequestId World::submit(int node, JobSpec spec) {
+    judge_.submitted(now_, spec);
+    return ask(node, Judge::Ask::submit, spec.id);
+}
+
+RequestId World::poll(int node, const std::string& job) { return ask(node, Judge::Ask::poll, job); }
+
+RequestId World::cancel(int node, const std::string& job) {
+    return ask(node, Judge::Ask::cancel, job);
 }
 
 void World::ask_often() {
-    unanswered_since_.clear();
-    longest_unanswered_ = 0;
-    for (const auto& [id, when] : accepted_) {
-        unanswered_since_[id] = now_;
-    }
+    judge_.troubles_over(now_);
     if (std::exchange(asking_, true)) {
         return;
     }
-    auto again = std::make_shared<std::function<void()>>();
-    std::weak_ptr<std::function<void()>> weak = again;
-    *again = [this, weak] {
+    auto ask_all = [this] {
         std::vector<int> ready;
         for (int n = 0; n < options_.nodes; ++n) {
             if (nodes_[n]->core && now_ >= nodes_[n]->frozen_until && probe(n) == 200) {
                 ready.push_back(n);
             }
         }
-        for (const auto& [id, when] : accepted_) {
-            unanswered_since_.try_emplace(id, now_);
-            if (told_final_.contains(id)) {
-                unanswered_since_.erase(id);
-            } else if (!ready.empty()) {
+        for (const auto& id : judge_.open()) {
+            if (!ready.empty()) {
                 poll(ready[random_() % ready.size()], id);
             }
         }
-        if (auto self = weak.lock()) {
-            at(now_ + 5, [self] { (*self)(); });
-        }
     };
-    at(now_, [again] { (*again)(); });
+    at(now_, ask_all);
+    every(5, ask_all);
+    every(1, [this] { look(); });
 }
 
-double World::longest_unanswered() const {
-    double longest = longest_unanswered_;
-    for (const auto& [id, since] : unanswered_since_) {
-        longest = std::max(longest, now_ - since);
+// What waits, and what room there is.
+void World::look() {
+    std::vector<Judge::Room> rooms;
+    std::map<std::string, Judge::Standing> jobs;
+    std::map<std::string, std::pair<double, double>> used;
+    for (const auto& [id, outcome] : outcomes()) {
+        if (outcome == Outcome::none && judge_.knows(id)) {
+            jobs[id] = {id, spec(id).tasks, {}};
+            for (std::uint32_t i = 0; i < spec(id).tasks; ++i) {
+                jobs[id].waiting -= judge_.done({id, i});
+            }
+        }
+    }
+    for (const auto& [name, w] : workers_) {
+        Judge::Room room{w->zone, w->spot, &type_, type_.cpus, type_.gpus, type_.ram_gb};
+        for (const auto& [task, t] : w->tasks) {
+            if (t.stage == TaskStage::exited) {
+                continue;
+            }
+            const JobSpec& s = spec(task.job);
+            room.cpus -= s.cpus;
+            room.gpus -= s.gpus;
+            room.ram_gb -= s.ram_gb;
+            used[s.team].first += s.cpus;
+            used[s.team].second += s.gpus;
+            if (auto job = jobs.find(task.job); job != jobs.end()) {
+                job->second.waiting -= !judge_.done(task);
+                ++job->second.in_zone[w->zone];
+            }
+        }
+        if (w->up && !w->dead && !w->cut && !w->deaf && !w->mute && now_ >= w->hung_until &&
+            w->taken == 0) {
+            rooms.push_back(room);
+        }
+    }
+    std::vector<Judge::Standing> waiting;
+    for (const auto& [id, job] : jobs) {
+        if (job.waiting > 0) {
+            waiting.push_back(job);
+        }
     }
-    return longest;
+    judge_.look(now_, rooms, waiting, used);
 }
 
 int World::probe(int node) {
@@ -1217,11 +1282,4 @@
     return answers.at(id).status;
 }
 
-RequestId World::cancel(int node, const std::string& job) {
-    RequestId id = next_request_++;
-    asked_[id] = {"cancel", job, now_};
-    input(node, Cancel{id, job});
-    return id;
-}
-
 } // namespace orchidlanding::test
--- a/tests/world.h
+++ b/tests/world.h
@@ -10,6 +10,7 @@
 #include <set>
 
 #include "core/controller.h"
+#include "judge.h"
 
 namespace orchidlanding::test {
 
@@ -51,10 +52,13 @@
     RequestId submit(int node, JobSpec spec);
     RequestId poll(int node, const std::string& job);
     RequestId cancel(int node, const std::string& job);
+    // A repeated submission, a cancellation of a job that is done, jobs that can never run.
+    void odd_requests(const std::string& job);
     // From now on users ask for each job that has been accepted and is not over every 5 s, at a
-    // node that is ready. The longest that one of them has gone without an answer since then.
+    // node that is ready, and the judge counts how long each goes without an answer, or waits
+    // beside idle machines.
     void ask_often();
-    double longest_unanswered() const;
+    double longest_unanswered() const { return judge_.longest_unanswered(now_); }
     // What a health check gets now.
     int probe(int node);
     std::map<RequestId, Answer> answers;
@@ -78,6 +82,10 @@
     void cut_machine(const std::string& machine, bool cut);
     // Its reports arrive, answers and direct commands do not.
     void deafen(const std::string& machine, bool deaf);
+    // It reaches no controller; direct commands reach it.
+    void mute(const std::string& machine, bool mute);
+    // It stands still; what is sent to it directly is executed when it goes on.
+    void hang(const std::string& machine, double seconds);
     void kill_machine(const std::string& machine);
     // The cloud says that it takes the machine, and does so then.
     void take_machine(const std::string& machine, double notice_s);
@@ -94,22 +102,37 @@
         double late_reports = 0;
         double held_orders = 0;
         double state_slow_s = 0;
+        // Transactions carried out at once of which only the answer is lost.
+        double lost_answers = 0;
+        // Copies of reports kept until a part is claimed, and then given to every node.
+        double reports_for_next = 0;
+        // New machines that are up within two seconds; that reach no controller from then on.
+        double quick_boots = 0;
+        double mute_boots = 0;
+        double slow_links_s = 0; // that a message takes longer, at most
+        // Jobs just accepted, ended or cancelled that users look at closely: all nodes are asked,
+        // again and again within milliseconds, and sent the submission; some cancel.
+        double close_looks = 0;
+        double cancel_at_end = 0; // jobs that their users cancel at the end of the last task
     };
     Troubles troubles;
 
     // What is true.
+    const Judge& judge() const { return judge_; }
     // The longest time that a task was on a machine after its user had been told of the
     // cancellation.
-    double longest_cancelled() const { return longest_cancelled_; }
+    double longest_cancelled() const { return judge_.longest_cancelled(); }
     std::vector<std::string> machines_up() const;
     std::set<std::string> machines_of(const TaskRef& task) const;
     std::string zone_of(const std::string& machine) const;
     int node_of(const std::string& machine) const; // that it reports to
     Time
     renewed(const std::string& machine) const; // its lease: the report answered last was sent then
-    bool all_done(const std::string& job) const;
+    bool all_done(const std::string& job) const { return judge_.all_done(job); }
     // Seconds from the submission to the first start of a task; none: none has started.
-    std::optional<double> began_after(const std::string& job) const;
+    std::optional<double> began_after(const std::string& job) const {
+        return judge_.began_after(job);
+    }
     int starts(const TaskRef& task) const;
     // Times that all tasks of a gang began to run together, and that they saved in good order.
     int gang_runs(const std::string& job) const;
@@ -117,11 +140,9 @@
     std::uint64_t attempt_of(const TaskRef& task) const; // on a machine now; 0: on none
     double used(const std::string& team) const;          // in what the team states
     int owner(int part = 0) const;                       // the node that owns the part, -1: none
-    std::vector<std::string> broken;                     // rules broken, in words
     std::map<std::string, Outcome> outcomes() const;
-    // Classes and teams of whose jobs, cancelled ones aside, less than this share is done, or for
-    // replicas has been started; in words.
-    std::vector<std::string> served_under(double share) const;
+    // See Judge::served_under.
+    std::vector<std::string> served_under(double share) const { return judge_.served_under(share); }
     std::string describe(const std::string& job) const; // for a failing test
     std::size_t calls_of(const std::string& kind) const;
     // Counted since the start: reports, starts, entries and bytes of what owners list for each
@@ -148,7 +169,7 @@
     void drop(const std::string& key);
     bool stands(const std::string& key) const { return kv_.contains(key); }
     const Facts& facts(int node) const;
-    const JobSpec& spec(const std::string& job) const { return specs_.at(job); }
+    const JobSpec& spec(const std::string& job) const { return judge_.spec(job); }
 
   private:
     struct Node;
@@ -185,18 +206,34 @@
     void fire_watches();
     void report(const std::string& machine, std::uint64_t session);
     Report report_of(Worker& w);
-    void execute(Worker& w, const std::vector<Command>& commands);
+    void execute(Worker& w, const std::vector<Command>& commands, Time left);
     void worker_step(const std::string& machine);
     void gang_step();
     void comes(Worker& worker, const TaskRef& task);
-    MachineType machine_type() const;
-    std::vector<std::string> zones() const;
+    void complete(const TaskRef& task);
+    void look_closely(const std::string& job);
+    void give_kept_reports();
+    static std::vector<std::string> zones(const WorldOptions& options);
+    static MachineType machine_type(const WorldOptions& options);
+    static std::vector<TeamFacts> teams(const WorldOptions& options);
+    void look();
+    void every(double seconds, std::function<void()> work);
+    RequestId ask(int node, Judge::Ask what, const std::string& job);
     void start_node(int node);
     double delay();
     bool chance(double p) { return std::uniform_real_distribution<>(0, 1)(random_) < p; }
-    void note_answer(const Answer& answer);
+    // Draws no number where there is none, so that a seed plays as it did before the trouble was
+    // known.
+    bool trouble(double share) { return share > 0 && chance(share); }
 
     WorldOptions options_;
+    MachineType type_;
+    Judge judge_;
+
+  public:
+    std::vector<std::string>& broken = judge_.broken; // rules broken, in words
+
+  private:
     std::mt19937_64 random_;
     Time now_ = 0;
     std::uint64_t sequence_ = 0;
@@ -223,21 +260,11 @@
     std::map<std::string, std::vector<std::string>> orders_;
     int next_machine_ = 0;
     RequestId next_request_ = 1;
-    std::map<RequestId, std::tuple<std::string, std::string, Time>> asked_; // what, job, when
-    std::map<std::string, Time> accepted_; // when a user was first told
-    std::map<std::string, Time> told_when_;
     bool asking_ = false;
-    std::map<std::string, Time> unanswered_since_;
-    double longest_unanswered_ = 0;
-    std::map<RequestId, std::function<void(const Answer&)>> reports_;
-    std::map<std::string, JobSpec> specs_;
-    std::map<std::string, Time> told_cancelled_;
-    double longest_cancelled_ = 0;
-    std::map<std::string, std::string> told_final_;
-    std::map<std::string, std::set<std::uint32_t>> done_;
+    std::set<RequestId> looks_; // that led to no further ones
+    std::vector<Report> kept_reports_;
+    std::map<RequestId, std::function<void(const Answer&, Time left)>> reports_;
     std::map<TaskRef, int> starts_;
-    std::map<std::string, Time> submitted_;
-    std::map<std::string, Time> began_;
     struct GangRun { // of one attempt
         bool ran = false;
         Time end = 0;
