A repeated submission gets the job's state, also if it would be refused today

A job that today's settings would refuse was answered 200 `pending` whatever its record said: a done or cancelled one went back, one that cannot be read was called pending. A repeat of a job that runs says so. A submission whose read finds nothing after its write was refused gets 503, not 404.

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -16,16 +16,19 @@
 Controller::Controller(const Facts& facts, const Policy& policy)
     : facts_(facts), policy_(policy),
       budget_(facts.state_rps, facts.state_write_rps, static_cast<int>(facts.parts.size())),
-      calls_(budget_, 1), authority_(policy.part_lease_s), desk_(facts_, calls_, index_),
-      polls_(facts_, calls_, index_,
-             [this](const std::string& id, std::uint32_t& done, std::uint32_t& running) {
-                 return std::any_of(owners_.begin(), owners_.end(), [&](const auto& owner) {
-                     return owner.second->counts(id, done, running);
-                 });
-             }),
+      calls_(budget_, 1), authority_(policy.part_lease_s), desk_(facts_, calls_, index_, counts()),
+      polls_(facts_, calls_, index_, counts()),
       promises_(facts_, policy.part_lease_s, calls_, authority_, index_), table_(facts_),
       capacity_(facts_, tick_s(facts_)) {}
 
+Counts Controller::counts() {
+    return [this](const std::string& id, std::uint32_t& done, std::uint32_t& running) {
+        return std::any_of(owners_.begin(), owners_.end(), [&](const auto& owner) {
+            return owner.second->counts(id, done, running);
+        });
+    };
+}
+
 std::uint64_t Controller::effort() const {
     std::uint64_t sum = 0;
     for (const auto& [part, owner] : owners_) {
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -50,6 +50,7 @@
     void on_promise(Time now, const PeerPromise& in);
     void ask_siblings(Time now);
     bool can_serve(Time now) const;
+    Counts counts();
     void collect(Time now, Outputs& out);
 
     Facts facts_;
--- a/src/core/poll_desk.cpp
+++ b/src/core/poll_desk.cpp
@@ -4,7 +4,6 @@
 #include <set>
 #include <utility>
 
-#include "core/answers.h"
 #include "core/parts.h"
 
 namespace orchidlanding {
@@ -24,13 +23,6 @@
     gather_s_ = std::min(gather_s_, longest_wait_s_ / 2);
 }
 
-void PollDesk::answer_open(RequestId request, const std::string& job) {
-    std::uint32_t done = 0;
-    std::uint32_t running = 0;
-    counts_(job, done, running);
-    calls_.answer(request, 200, JobAnswer{job, running > 0 ? "running" : "pending", done, running});
-}
-
 void PollDesk::poll(Time now, RequestId request, const std::string& job) {
     if (answer_final(calls_, index_, request, job)) {
         return;
@@ -107,7 +99,7 @@
             continue;
         }
         if (reply.status == 200) {
-            answer_open(w.request, w.job);
+            answer_open(calls_, counts_, w.request, w.job);
         } else if (reply.status == 409 && named && index_.version(w.job)) {
             waiting_.push_front(w);
         } else if (reply.status == 409 && named) {
@@ -148,7 +140,7 @@
             continue;
         }
         if (found) {
-            answer_open(request, job);
+            answer_open(calls_, counts_, request, job);
         } else if (reply.status == 404) {
             calls_.answer(request, 404, Plain{"no such job"});
         } else {
--- a/src/core/poll_desk.h
+++ b/src/core/poll_desk.h
@@ -5,18 +5,14 @@
 #pragma once
 
 #include <deque>
-#include <functional>
 #include <map>
 
-#include "core/calls.h"
-#include "core/job_index.h"
+#include "core/answers.h"
 
 namespace orchidlanding {
 
 class PollDesk {
   public:
-    // Tasks done and running as the owner knows them; false: this node is not the owner.
-    using Counts = std::function<bool(const std::string&, std::uint32_t&, std::uint32_t&)>;
     PollDesk(const Facts& facts, Calls& calls, JobIndex& index, Counts counts);
 
     void poll(Time now, RequestId request, const std::string& job);
@@ -33,7 +29,6 @@
         std::vector<RequestId> requests; // came before it was sent
         std::vector<RequestId> later;    // came after that: it does not answer them
     };
-    void answer_open(RequestId request, const std::string& job);
     void confirm(Time now);
     void confirmed(Time now, const std::vector<Waiting>& asked, const CallReply& reply);
     void read(Time now, const std::string& job, std::vector<RequestId> requests);
--- a/src/core/user_desk.cpp
+++ b/src/core/user_desk.cpp
@@ -41,31 +41,28 @@
         return;
     }
     std::string why = refusal(spec);
-    if (why.empty() && fits(spec, types)) {
-        create(now, submit.request, spec);
-        return;
+    // The cloud may have a type by now that it fits.
+    bool unsure = why.empty() && !current;
+    if (why.empty() && !fits(spec, types)) {
+        why = "fits no allowed machine type";
     }
     if (why.empty()) {
-        if (!current) { // the cloud may have a type by now that it fits
-            calls_.answer(submit.request, 503, Plain{"machine types may have changed"}, 1);
-            return;
-        }
-        why = "fits no allowed machine type";
+        create(now, submit.request, spec);
+        return;
     }
-    bool sent = calls_.send_state(
-        now, StateBudget::Use::user, Get{key_of(spec.id)},
-        [this, request = submit.request, id = spec.id, why](Time, CallReply& reply) {
-            if (reply.status == 200) {
-                calls_.answer(request, 200, JobAnswer{id, "pending", {}, {}});
-            } else if (reply.status != 404) {
-                answer_busy(calls_, request);
+    // What would be refused today may have been accepted under earlier settings, and may be over.
+    read(
+        now, submit.request, spec.id,
+        [this, request = submit.request, id = spec.id](Time, const KeyedRecord&) {
+            answer_open(calls_, counts_, request, id);
+        },
+        [this, request = submit.request, why, unsure] {
+            if (unsure) {
+                calls_.answer(request, 503, Plain{"machine types may have changed"}, 1);
             } else {
                 calls_.answer(request, 422, Plain{why});
             }
         });
-    if (!sent) {
-        answer_busy(calls_, submit.request);
-    }
 }
 
 void UserDesk::create(Time now, RequestId request, const JobSpec& spec) {
@@ -79,9 +76,12 @@
                                   index_.saw(at, id, reply.revision, JobRecord{});
                                   calls_.answer(request, 201, JobAnswer{id, "pending", {}, {}});
                               } else if (reply.status == 409) {
-                                  read(at, request, id, [=, this](Time, const KeyedRecord&) {
-                                      calls_.answer(request, 200, JobAnswer{id, "pending", {}, {}});
-                                  });
+                                  read(
+                                      at, request, id,
+                                      [this, request, id](Time, const KeyedRecord&) {
+                                          answer_open(calls_, counts_, request, id);
+                                      },
+                                      [this, request] { answer_busy(calls_, request); });
                               } else {
                                   answer_busy(calls_, request);
                               }
@@ -91,11 +91,12 @@
     }
 }
 
-void UserDesk::read(Time now, RequestId request, const std::string& id, Open then) {
+void UserDesk::read(Time now, RequestId request, const std::string& id, Open open,
+                    Missing missing) {
     bool sent = calls_.send_state(now, StateBudget::Use::user, Get{key_of(id)},
-                                  [this, request, id, then](Time at, CallReply& reply) {
+                                  [this, request, id, open, missing](Time at, CallReply& reply) {
                                       if (reply.status == 404) {
-                                          calls_.answer(request, 404, Plain{"no such job"});
+                                          missing();
                                           return;
                                       }
                                       if (reply.status != 200 || reply.items.empty()) {
@@ -112,7 +113,7 @@
                                       } else if (record->outcome != Outcome::none) {
                                           answer_final(calls_, index_, request, id);
                                       } else {
-                                          then(at, item);
+                                          open(at, item);
                                       }
                                   });
     if (!sent) {
@@ -124,29 +125,31 @@
     if (answer_final(calls_, index_, cancel.request, cancel.job)) {
         return;
     }
-    read(now, cancel.request, cancel.job,
-         [this, cancel, tries_left](Time at, const KeyedRecord& item) {
-             JobRecord record = std::get<JobRecord>(item.record);
-             record.outcome = Outcome::cancelled;
-             Txn txn;
-             txn.when.push_back({item.key, item.version});
-             txn.then.push_back({item.key, std::move(record), {}});
-             bool sent =
-                 calls_.send_state(at, StateBudget::Use::user, std::move(txn),
-                                   [this, cancel, tries_left](Time later, CallReply& reply) {
-                                       if (reply.status == 200) {
-                                           index_.saw_final(later, cancel.job, Outcome::cancelled);
-                                           answer_final(calls_, index_, cancel.request, cancel.job);
-                                       } else if (reply.status == 409 && tries_left > 0) {
-                                           this->cancel(later, cancel, tries_left - 1);
-                                       } else {
-                                           answer_busy(calls_, cancel.request);
-                                       }
-                                   });
-             if (!sent) {
-                 answer_busy(calls_, cancel.request);
-             }
-         });
+    read(
+        now, cancel.request, cancel.job,
+        [this, cancel, tries_left](Time at, const KeyedRecord& item) {
+            JobRecord record = std::get<JobRecord>(item.record);
+            record.outcome = Outcome::cancelled;
+            Txn txn;
+            txn.when.push_back({item.key, item.version});
+            txn.then.push_back({item.key, std::move(record), {}});
+            bool sent =
+                calls_.send_state(at, StateBudget::Use::user, std::move(txn),
+                                  [this, cancel, tries_left](Time later, CallReply& reply) {
+                                      if (reply.status == 200) {
+                                          index_.saw_final(later, cancel.job, Outcome::cancelled);
+                                          answer_final(calls_, index_, cancel.request, cancel.job);
+                                      } else if (reply.status == 409 && tries_left > 0) {
+                                          this->cancel(later, cancel, tries_left - 1);
+                                      } else {
+                                          answer_busy(calls_, cancel.request);
+                                      }
+                                  });
+            if (!sent) {
+                answer_busy(calls_, cancel.request);
+            }
+        },
+        [this, request = cancel.request] { calls_.answer(request, 404, Plain{"no such job"}); });
 }
 
 } // namespace orchidlanding
--- a/src/core/user_desk.h
+++ b/src/core/user_desk.h
@@ -2,18 +2,15 @@
 // the poll desk's.
 #pragma once
 
-#include <functional>
-
-#include "core/calls.h"
-#include "core/job_index.h"
+#include "core/answers.h"
 #include "core/teams.h"
 
 namespace orchidlanding {
 
 class UserDesk {
   public:
-    UserDesk(const Facts& facts, Calls& calls, JobIndex& index)
-        : calls_(calls), index_(index), teams_(facts.teams) {}
+    UserDesk(const Facts& facts, Calls& calls, JobIndex& index, Counts counts)
+        : calls_(calls), index_(index), counts_(std::move(counts)), teams_(facts.teams) {}
 
     // `current`: the types are the cloud's own, not what was heard of them at an earlier start.
     void submit(Time now, const Submit& submit, const std::vector<MachineType>& types,
@@ -23,12 +20,15 @@
   private:
     std::string refusal(const JobSpec& spec) const;
     void create(Time now, RequestId request, const JobSpec& spec);
-    // Reads the job and answers with its state; `then` takes over when it is still open.
+    // Reads the job and answers, but for what only the caller can say: that it is open, or that
+    // there is none.
     using Open = std::function<void(Time, const KeyedRecord&)>;
-    void read(Time now, RequestId request, const std::string& id, Open then);
+    using Missing = std::function<void()>;
+    void read(Time now, RequestId request, const std::string& id, Open open, Missing missing);
 
     Calls& calls_;
     JobIndex& index_; // final outcomes never change, so they alone may be answered without a read
+    Counts counts_;
     Teams teams_;
 };
 
--- a/tests/judge.h
+++ b/tests/judge.h
@@ -23,6 +23,8 @@
     void asked(Time now, RequestId request, Ask what, const std::string& job);
     void submitted(Time now, const JobSpec& spec);
     void answered(Time now, const Answer& answer);
+    // Users were told so before the history begins, under other settings maybe.
+    void told_before(Time now, const JobSpec& spec, const std::string& stage);
 
     // Machines: a task has its image and is on its machine from now on; it completed; a cancelled
     // job's task is there at this moment. `left`: when its start left the controller.
