--- a/tests/judge.cpp
+++ b/tests/judge.cpp
@@ -95,6 +95,9 @@
     if (stage == "done" || stage == "cancelled") {
         final_.emplace(spec.id, Told{stage, now});
     }
+    if (stage == "cancelled") { // by its user
+        cancel_asked_.insert(spec.id);
+    }
 }
 
 std::string Judge::told(const std::string& job) const {
