A gang that wants one zone is rented for until every zone would hold it twice

What is wanted now grows with each 1.5 boots waited, up to twice the gang in each zone, since tasks that do not fill their machines leave up to half. GangPlacing.OneZoneBeginsWhateverItsSize fails for several sizes on the sources before.

--- a/src/core/demand_book.cpp
+++ b/src/core/demand_book.cpp
@@ -92,12 +92,17 @@
             bound && stuck > 0) {
             // New machines would be there by now: there is room, but not where it is needed. So
             // as much again is wanted, whatever the team's limit makes of the rest.
-            (s.spot ? d.any_slots : d.ordinary_slots) += waiting * slots;
+            double again = 1;
             // All of it in one zone, one after the other: spread over the zones it may not be
-            // enough in any, and a gang of 19 tasks waited for ever beside 15 empty machines.
+            // enough in any. Nor are as many slots in the zone always enough: tasks that do not
+            // fill their machines leave up to half of each. So it grows until there would be
+            // twice as much in every zone. A gang of 19 tasks of 3 CPUs waited for ever beside 15
+            // empty machines of 8, six in one zone and nine in the other.
             if (s.one_zone && open.size() > 1) {
+                again = static_cast<double>(std::min(stuck, 2 * open.size()));
                 d.bound[open[stuck % open.size()]] += 2 * waiting * slots;
             }
+            (s.spot ? d.any_slots : d.ordinary_slots) += again * waiting * slots;
         }
         double tasks = job->placed + std::ceil(waiting * pace);
         Need& need = needs[s.team];
--- a/tests/gang_test.cpp
+++ b/tests/gang_test.cpp
@@ -354,5 +354,29 @@
     EXPECT_EQ(slots_idle(2, 1, 60, t), 1);
 }
 
+// Tasks that do not fill their machines, in one zone: what is there is enough by its slots, but not
+// in any one zone. A gang of 19 tasks of 3 CPUs once waited for ever beside fifteen empty machines
+// of 8 CPUs, six in one zone and nine in the other.
+TEST(GangPlacing, OneZoneBeginsWhateverItsSize) {
+    for (double cpus : {1.5, 3.0, 5.0}) {
+        for (std::uint32_t tasks = 2; tasks <= 20; tasks += 3) {
+            World w({.seed = tasks, .nodes = 5, .run_s = 20, .limits = 20, .capacity = 60});
+            w.run_for(30);
+            // What came before leaves machines in both zones.
+            w.submit(0, w.job("req-1", tasks * 2, cpus));
+            w.run_for(40);
+            JobSpec gang = w.job("req-2", tasks, cpus);
+            gang.kind = JobKind::gang;
+            gang.one_zone = true;
+            w.submit(1, gang);
+            w.ask_often();
+            w.run_for(200);
+            EXPECT_TRUE(w.all_done("req-2")) << tasks << " of " << cpus << w.describe("req-2");
+            EXPECT_LT(w.judge().longest_idle(), 90) << w.judge().idlest();
+            EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+        }
+    }
+}
+
 } // namespace
 } // namespace orchidlanding::test
