Tests: only the answer is lost, of each transaction; one-task jobs, four a second

OnlyTheAnswerIsLost loses the answer of the first, the second, every other one or all of a minute's, of thirteen transactions each, with the writer going on, back after 0.02 s or 6 s; users look closely at all nodes. OneTaskJobs: 2,400 jobs at the limits of the smallest deployment (100 requests, 20 changes a second), a quarter cancelled, an outage of 25 s, an end.

--- a/tests/meeting_rows_test.cpp
+++ b/tests/meeting_rows_test.cpp
@@ -473,5 +473,197 @@
                              return rows().at(static_cast<std::size_t>(p.param)).name;
                          });
 
+// ---- Only the answer is lost ----
+
+bool all_digits(const std::string& s) {
+    return !s.empty() &&
+           std::all_of(s.begin(), s.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+
+// Each of our transactions, by what it changes.
+struct Kind {
+    const char* name;
+    std::function<bool(const Condition* when, const Change&)> is;
+};
+const std::vector<Kind>& kinds() {
+    auto job = [](const Change& c, Outcome outcome) {
+        const auto* record = c.put ? std::get_if<JobRecord>(&*c.put) : nullptr;
+        return record && c.key.starts_with(kJobs) && record->outcome == outcome;
+    };
+    static const std::vector<Kind> all = {
+        {"Claim",
+         [](auto*, const Change& c) {
+             return c.put && c.key.starts_with("part/") && all_digits(c.key.substr(5));
+         }},
+        {"HandOverHome",
+         [](auto*, const Change& c) {
+             return !c.put && c.key.starts_with("part/") && all_digits(c.key.substr(5));
+         }},
+        {"RequestForTheHomePart",
+         [](auto*, const Change& c) { return c.put && c.key.ends_with("/home"); }},
+        {"MoveOfAShareAndTheMap",
+         [](auto*, const Change& c) { return c.key.ends_with("/shares"); }},
+        {"RosterEntry",
+         [](auto*, const Change& c) { return c.put && c.key.starts_with("machine/"); }},
+        {"RosterDrop",
+         [](auto*, const Change& c) { return !c.put && c.key.starts_with("machine/"); }},
+        {"DoneBits", [](auto*, const Change& c) { return c.put && c.key.starts_with("done/"); }},
+        {"Outcome", [job](auto*, const Change& c) { return job(c, Outcome::done); }},
+        {"Submission", [job](auto*, const Change& c) { return job(c, Outcome::none); }},
+        {"Cancellation", [job](auto*, const Change& c) { return job(c, Outcome::cancelled); }},
+        {"Listing", [](auto*, const Change& c) { return c.put && c.key.starts_with("account/"); }},
+        {"ListingRead",
+         [](auto*, const Change& c) { return !c.put && c.key.starts_with("account/"); }},
+        {"Catalog", [](auto*, const Change& c) { return c.key == "catalog"; }},
+    };
+    return all;
+}
+
+class OnlyTheAnswerIsLost : public testing::TestWithParam<int> {};
+
+// Of one transaction each, the first, the second, every other one and all of a minute; the writer
+// goes on or ends. Users look closely at all nodes.
+TEST_P(OnlyTheAnswerIsLost, TheWriterLearnsByReadingAndUsersSeeOneHistory) {
+    const Kind& kind = kinds().at(static_cast<std::size_t>(GetParam()));
+    for (int which = 0; which < 4; ++which) {
+        for (double back : {-1.0, 0.02, 6.0}) {
+            SCOPED_TRACE(std::string(kind.name) + " " + std::to_string(which) + " back " +
+                         std::to_string(back));
+            Scene s(17, quick());
+            World& w = s.w;
+            int seen = 0;
+            int lost = 0;
+            Time from = w.now();
+            w.troubles.close_looks = 1;
+            w.lose_answer = [&](int node, const Txn& txn) {
+                bool is = std::any_of(txn.then.begin(), txn.then.end(),
+                                      [&](const Change& c) { return kind.is(nullptr, c); });
+                if (!is || w.now() > from + 60) {
+                    return false;
+                }
+                int n = seen++;
+                bool lose = which == 3 ? true : which == 2 ? n % 2 == 0 : n == which;
+                if (lose && ++lost == 1 && back >= 0) {
+                    w.at(w.now() + 0.1, [&w, node, back] { w.crash(node, back); });
+                }
+                return lose;
+            };
+            // All that there is to write: jobs, ends, cancellations, machines that come and go, a
+            // part that changes hands while calls are refused, goes home, and shares that move.
+            for (int k = 0; k < 4; ++k) {
+                s.submit(k % 2 ? JobKind::gang : JobKind::array, 3, "red", 2);
+            }
+            for (int n = 0; n < 5; ++n) {
+                s.all_peers(n, true);
+            }
+            w.crash(s.leader, 14);
+            w.run_for(20);
+            for (int n = 0; n < 5; ++n) {
+                s.all_peers(n, false);
+            }
+            s.cancel_some((s.leader + 2) % 5);
+            for (const auto& share : w.shares(part_of(w, "blue"))) {
+                w.give(part_of(w, "blue"), share, s.any(5));
+            }
+            for (const auto& machine : s.some_machines(8)) {
+                w.kill_machine(machine);
+            }
+            w.crash((s.leader + 3) % 5, 0.02); // it fetches the types again
+            for (int k = 0; k < 6; ++k) {
+                s.submit(JobKind::array, 40, k % 2 ? "red" : "blue", 2);
+                w.run_for(6);
+                s.cancel_some((s.leader + 2) % 5);
+            }
+            w.troubles = {};
+            w.run_for(w.facts(0).cancel_s);
+            w.lose_answer = nullptr;
+            w.ask_often();
+            for (int k = 0; k < 10; ++k) {
+                w.run_for(30);
+                for (const auto& [id, outcome] : w.outcomes()) {
+                    if (w.spec(id).kind == JobKind::service && outcome == Outcome::none) {
+                        w.cancel(0, id);
+                    }
+                }
+            }
+            EXPECT_GT(seen, 0);
+            EXPECT_TRUE(lost > 0 || which == 1) << seen;
+            ASSERT_TRUE(w.broken.empty()) << w.broken.front();
+            EXPECT_LT(w.longest_unanswered(), 75);
+            EXPECT_LT(w.judge().longest_idle(), 90) << w.judge().idlest();
+            for (const auto& [id, outcome] : w.outcomes()) {
+                EXPECT_NE(outcome, Outcome::none) << id;
+            }
+        }
+    }
+}
+INSTANTIATE_TEST_SUITE_P(Of, OnlyTheAnswerIsLost,
+                         testing::Range(0, static_cast<int>(kinds().size())), [](const auto& p) {
+                             return kinds().at(static_cast<std::size_t>(p.param)).name;
+                         });
+
+// ---- One-task jobs ----
+
+// Four a second for ten minutes, a quarter cancelled, with an outage and an end in it, at the
+// limits of the smallest deployment: 100 requests and 20 changes a second for all.
+TEST(OneTaskJobs, FourASecondForTenMinutesAQuarterCancelled) {
+    World w({.seed = 5, .nodes = 3, .run_s = 6, .limits = 4, .capacity = 14, .notices = true});
+    std::mt19937_64 random(5);
+    auto any = [&](int n) { return static_cast<int>(random() % static_cast<unsigned>(n)); };
+    w.run_for(30);
+    std::map<std::string, std::pair<RequestId, int>> open; // submissions without a 20x, tries
+    w.ask_often();
+    int jobs = 0;
+    Time from = w.now();
+    int claims = 0;
+    w.on_log = [&](Time, int, const std::string& text) {
+        claims += text.starts_with("event=part_claimed");
+    };
+    int node = 0;
+    while (w.now() < from + 600) {
+        JobSpec s = w.job("req-" + std::to_string(++jobs), 1, 1);
+        s.team = any(2) ? "red" : "blue";
+        open[s.id] = {w.submit(any(3), s), 0};
+        if (jobs % 4 == 0) {
+            std::string id = "req-" + std::to_string(std::max(1, jobs - any(16)));
+            w.at(w.now() + 1, [&w, id, n = any(3)] { w.cancel(n, id); });
+        }
+        if (jobs == 800) {
+            w.state_down(true);
+            w.at(w.now() + 25, [&w] { w.state_down(false); });
+        }
+        if (jobs == 1600) {
+            w.crash(node = w.owner(part_of_team(w.facts(0), "red")), 0.3);
+        }
+        w.run_for(0.25);
+        for (auto it = open.begin(); it != open.end();) { // again after a second or two
+            auto a = w.answers.find(it->second.first);
+            bool taken = a != w.answers.end() && a->second.status < 500;
+            if (!taken && ++it->second.second % 8 == 0) {
+                it->second.first = w.submit(any(3), w.spec(it->first));
+            }
+            it = taken ? open.erase(it) : std::next(it);
+        }
+    }
+    w.run_for(90);
+    EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+    EXPECT_TRUE(open.empty()) << open.size() << " not accepted, " << open.begin()->first;
+    EXPECT_EQ(jobs, 2400);
+    EXPECT_LT(w.longest_unanswered(), 75);
+    EXPECT_LT(w.longest_cancelled(), 42);
+    EXPECT_EQ(w.judge().late_starts().left_after, 0);
+    std::size_t left = 0;
+    for (const auto& [id, outcome] : w.outcomes()) {
+        left += outcome == Outcome::none;
+    }
+    EXPECT_EQ(left, 0u);
+    EXPECT_EQ(claims, 1); // by the process that had ended: no lease was lost by the load
+    std::printf("%zu transactions, %zu reads, %zu compared or watched; last task of a cancelled "
+                "job after %.1f s; "
+                "longest unanswered %.1f s\n",
+                w.calls_of("txn"), w.calls_of("get"), w.calls_of("watch"), w.longest_cancelled(),
+                w.longest_unanswered());
+}
+
 } // namespace
 } // namespace orchidlanding::test
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -383,7 +383,8 @@
         silent = true;
         at(now_ + options_.report_s / 4, [=, this] { deliver(i, life, none); });
     }
-    if (std::holds_alternative<Txn>(c.body) && trouble(troubles.lost_answers)) {
+    const auto* txn = std::get_if<Txn>(&c.body);
+    if (txn && ((lose_answer && lose_answer(i, *txn)) || trouble(troubles.lost_answers))) {
         silent = true;
         at(now_ + options_.report_s / 2, [=, this] { deliver(i, life, none); });
     }
--- a/tests/world.h
+++ b/tests/world.h
@@ -165,6 +165,8 @@
     Counts counts() const;
     // Calls the test wants to see or hold back: return true to swallow the message.
     std::function<bool(int node, const CallBody&)> intercept;
+    // Transactions that are carried out at once and whose answer alone is lost.
+    std::function<bool(int node, const Txn&)> lose_answer;
     // A report that the machine sent once comes to the node only now, or once more.
     Report last_report(const std::string& machine) const { return last_reports_.at(machine); }
     void deliver_late(int node, const Report& report);
