--- a/tests/meeting_rows_test.cpp
+++ b/tests/meeting_rows_test.cpp
@@ -390,6 +390,47 @@
                  }
              }
          }},
+        {"ALeaderEndsWhileMachinesWithLongTasksCannotBeReachedOrDoNotHear",
+         [](Scene& s, int instant, const auto& end) {
+             std::vector<std::string> machines = s.some_machines(3);
+             for (const auto& machine : machines) {
+                 instant == 1 ? s.w.cut_machine(machine, true) : s.w.deafen(machine, true);
+             }
+             s.w.run_for(std::array{0.5, 3.0, 12.0}[instant]);
+             s.w.crash(s.leader, instant ? 25 : 0.02);
+             s.w.run_for(8);
+             s.cancel_some(s.confirming);
+             end();
+             s.w.run_for(std::array{6.0, 12.0, 30.0}[instant]); // within the lease and beyond it
+             auto up = s.w.machines_up();
+             for (const auto& machine : machines) {
+                 if (std::find(up.begin(), up.end(), machine) != up.end()) {
+                     s.w.cut_machine(machine, false);
+                     s.w.deafen(machine, false);
+                 }
+             }
+             s.w.run_for(10);
+         }},
+        {"TheStateServiceIsSlowOrRefusesTheLeaderThenAllWhileUsersCancelAndAsk",
+         [](Scene& s, int instant, const auto& end) {
+             s.w.troubles.state_slow_s = instant == 0 ? 2 : 0.3;
+             s.w.state_refuses(s.leader, instant != 0);
+             for (int k = 0; k < 12; ++k) {
+                 s.submit(JobKind::array, 2, "red", 1);
+                 s.w.poll(s.any(5), "req-" + std::to_string(1 + s.any(s.jobs)));
+                 s.w.run_for(0.3);
+             }
+             s.cancel_some(s.confirming);
+             s.w.run_for(1);
+             s.w.state_down(true);
+             s.w.run_for(std::array{5.0, 20.0, 50.0}[instant]);
+             s.cancel_some(s.confirming);
+             end();
+             s.w.run_for(10);
+             s.w.state_down(false);
+             s.w.state_refuses(s.leader, false);
+             s.w.run_for(5);
+         }},
         {"ACancellationAQuestionOrARepeatMeetsTheEndOfTheLastTask",
          [](Scene& s, int instant, const auto& end) {
              s.w.troubles.cancel_at_end = 1;
