--- a/src/core/freshness.h
+++ b/src/core/freshness.h
@@ -2,7 +2,7 @@
 // to a report keeps the machine's tasks for one more lease, and a start needs such a lease; so both
 // may go out only while a cancellation that the owner does not know of cannot be so old that the
 // lease would carry its tasks past `cancel_s`. See "From a cancellation to the last task" in
-// docs/design.md. Times in seconds of this node's steady clock.
+// docs/meetings.md. Times in seconds of this node's steady clock.
 #pragma once
 
 #include <algorithm>
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -1,5 +1,5 @@
 // Two troubles at once: from a cancellation that users were told of to the last task. See "From a
-// cancellation to the last task" in docs/design.md.
+// cancellation to the last task" in docs/meetings.md.
 #include <gtest/gtest.h>
 
 #include <algorithm>
