--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -57,7 +57,8 @@
     Controller core(settings.facts, policy::defaults(settings.facts));
     net::EventLoop* loop_pointer = nullptr;
     net::Clients clients({settings.state, settings.cloud, settings.peers, settings.facts.report_s,
-                          settings.facts.orders_at_once, settings.facts.state_rps},
+                          settings.facts.orders_at_once, settings.facts.state_rps,
+                          settings.state_threads},
                          [&](CallReply reply) { loop_pointer->push(std::move(reply)); });
     net::EventLoop loop(
         core, [&](const Call& call) { clients.send(call); }, write_log);
--- a/src/cli/settings.cpp
+++ b/src/cli/settings.cpp
@@ -13,6 +13,11 @@
 // until its time is up, and the others must not wait behind them.
 constexpr int kLeastOrders = 16;
 constexpr int kSocketsAnOrder = 40;
+// Calls to the state service at once, two watches among them: when many answers are lost, each such
+// call holds a thread for seconds. With twelve threads and a third of the answers lost, renewals
+// and questions stood behind them and no node was ready for two minutes.
+constexpr int kLeastStateCalls = 12;
+constexpr int kSocketsAStateCall = 20;
 
 class Reader {
   public:
@@ -175,6 +180,7 @@
     s.facts.list_lag_s = r.number("facts.cloud.list_lag_s");
     s.sockets = static_cast<int>(r.positive("facts.machine_limits.sockets"));
     s.facts.orders_at_once = std::max(kLeastOrders, s.sockets / kSocketsAnOrder);
+    s.state_threads = std::max(kLeastStateCalls, s.sockets / kSocketsAStateCall);
     return s;
 }
 
--- a/src/cli/settings.h
+++ b/src/cli/settings.h
@@ -22,6 +22,7 @@
     std::string cloud;
     std::string state;
     int sockets = 0;
+    int state_threads = 0; // calls to the state service at once
 };
 
 // Throws BadSettings, naming file, key and reason.
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -10,10 +10,9 @@
 namespace orchidlanding::net {
 
 namespace {
-// Threads of each pool. The state pool has room for two watches besides the calls of a burst.
-constexpr std::size_t kStateThreads = 12;
+// Threads of each pool. A call whose answer is lost holds its thread until its time is up.
 constexpr std::size_t kCloudThreads = 3;
-constexpr std::size_t kPeerThreads = 8;
+constexpr std::size_t kPeerThreads = 4; // to each peer: both parts' exchanges, promise, notice
 
 std::unique_ptr<httplib::Client> connect(const std::string& address, double timeout_s) {
     auto colon = address.rfind(':');
@@ -30,11 +29,13 @@
 Clients::Clients(Endpoints endpoints, Deliver deliver)
     : endpoints_(std::move(endpoints)), deliver_(std::move(deliver)),
       // The budget lets a second's worth of requests go at once.
-      state_(kStateThreads, 10 * endpoints_.report_s,
-             std::max(4 * kStateThreads, static_cast<std::size_t>(endpoints_.state_rps))),
+      state_(static_cast<std::size_t>(endpoints_.state_threads), 10 * endpoints_.report_s,
+             static_cast<std::size_t>(
+                 std::max<double>(4 * endpoints_.state_threads, endpoints_.state_rps))),
       cloud_(kCloudThreads, 2 * endpoints_.report_s),
       workers_(static_cast<std::size_t>(endpoints_.worker_threads), 2 * endpoints_.report_s),
-      peers_(kPeerThreads, 2 * endpoints_.report_s) {}
+      peers_(kPeerThreads * std::max<std::size_t>(2, endpoints_.peers.size()),
+             2 * endpoints_.report_s) {}
 
 void Clients::send(const Call& call) {
     bool orders = std::holds_alternative<Orders>(call.body);
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -18,6 +18,7 @@
     double report_s = 0;                      // the measure of all timeouts
     int worker_threads = 0;                   // calls to workers at once
     double state_rps = 0;                     // of the state service, for all nodes
+    int state_threads = 0;                    // calls to the state service at once
 };
 
 class Clients {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -166,7 +166,7 @@
     std::promise<CallReply> first;
     std::promise<CallReply> second;
     net::Clients clients(
-        {"127.0.0.1:" + std::to_string(port), "127.0.0.1:1", {}, 3},
+        {"127.0.0.1:" + std::to_string(port), "127.0.0.1:1", {}, 3, 0, 0, 12},
         [&](CallReply reply) { (reply.call == 1 ? first : second).set_value(std::move(reply)); });
     clients.send({1, Get{"job/req-1"}});
     clients.send({2, ListHosts{""}});
@@ -177,6 +177,43 @@
     serving.join();
 }
 
+// Calls whose answers do not come hold their threads: one more is answered all the same.
+TEST(NetClients, AStateCallDoesNotWaitForThoseWhoseAnswersAreLost) {
+    constexpr int kLost = 19;
+    httplib::Server stand_in;
+    stand_in.new_task_queue = [] { return new httplib::ThreadPool(kLost + 8); };
+    std::promise<void> gate;
+    auto open = gate.get_future().share();
+    stand_in.Get("/kv/job/lost",
+                 [open](const httplib::Request&, httplib::Response&) { open.wait(); });
+    stand_in.Get("/kv/job/req-1", [](const httplib::Request&, httplib::Response& res) {
+        res.status = 404;
+        res.set_content(std::string("\x81\xa4ring\x05"), wire::kContentType);
+    });
+    int port = stand_in.bind_to_any_port("127.0.0.1");
+    std::thread serving([&] { stand_in.listen_after_bind(); });
+    std::atomic<int> given_up{0};
+    std::promise<std::pair<int, int>> answered; // status, and calls given up before
+    net::Clients clients(
+        {"127.0.0.1:" + std::to_string(port), "127.0.0.1:1", {}, 20, 0, 0, kLost + 1},
+        [&](CallReply reply) {
+            if (reply.call == kLost + 1) {
+                answered.set_value({reply.status, given_up});
+            } else {
+                ++given_up;
+            }
+        });
+    for (int i = 1; i <= kLost; ++i) {
+        clients.send({static_cast<CallId>(i), Get{"job/lost"}});
+    }
+    clients.send({kLost + 1, Get{"job/req-1"}});
+    EXPECT_EQ(answered.get_future().get(), std::pair(404, 0));
+    gate.set_value();
+    clients.stop();
+    stand_in.stop();
+    serving.join();
+}
+
 TEST(NetThreadPool, RunsEverythingAndRefusesTooMuch) {
     std::atomic<int> ran{0};
     std::promise<void> gate;
