--- a/tests/meeting_rows_test.cpp
+++ b/tests/meeting_rows_test.cpp
@@ -3,11 +3,11 @@
 // the node that confirms cancellations or both end in it, and it falls into different instants.
 #include <gtest/gtest.h>
 
-#include <cstdlib>
 #include <functional>
 #include <random>
 
 #include "core/parts.h"
+#include "seeds.h"
 #include "world.h"
 
 namespace orchidlanding::test {
@@ -493,7 +493,7 @@
 // with ORCHIDLANDING_SEEDS.
 TEST_P(MeetingRows, KeepTheRulesAndForgetNobody) {
     const Row& row = rows().at(static_cast<std::size_t>(GetParam()));
-    bool all = std::getenv("ORCHIDLANDING_SEEDS") != nullptr;
+    bool all = seeds_asked() > 0;
     int played = 0;
     for (int instant = 0; instant < 3; ++instant) {
         for (int k = 0; k < 16; ++k) {
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -3,12 +3,12 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <cstdlib>
 #include <random>
 #include <set>
 
 #include "core/freshness.h"
 #include "core/parts.h"
+#include "seeds.h"
 #include "world.h"
 
 namespace orchidlanding::test {
@@ -228,7 +228,7 @@
 
 TEST_P(Meetings, OfARefusalOfOneAndAnOutageOfAllKeepNoCancelledTask) {
     int with = GetParam();
-    int rounds = std::getenv("ORCHIDLANDING_SEEDS") ? 27 : 3;
+    int rounds = seeds_asked() > 0 ? 27 : 3;
     double longest = 0;
     int round = 0;
     for (int times = 0; times < 3; ++times) {
@@ -460,18 +460,7 @@
 }
 INSTANTIATE_TEST_SUITE_P(Seeds, MeetingsRandom, testing::Range(1, 13));
 
-TEST(MeetingsSeeds, AsManyAsAreAskedFor) {
-    const char* asked = std::getenv("ORCHIDLANDING_SEEDS");
-    if (!asked) {
-        GTEST_SKIP() << "set ORCHIDLANDING_SEEDS";
-    }
-    const char* first = std::getenv("ORCHIDLANDING_FIRST_SEED");
-    for (int seed = first ? std::atoi(first) : 1000, end = seed + std::atoi(asked); seed < end;
-         ++seed) {
-        SCOPED_TRACE("seed " + std::to_string(seed));
-        play_at_random(static_cast<std::uint64_t>(seed));
-    }
-}
+TEST(MeetingsSeeds, AsManyAsAreAskedFor) { play_seeds_asked(1000, play_at_random); }
 
 // ---- One by one ----
 
--- a/tests/restart_test.cpp
+++ b/tests/restart_test.cpp
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "core/parts.h"
+#include "seeds.h"
 #include "world.h"
 
 namespace orchidlanding::test {
@@ -457,11 +458,6 @@
 
 // ORCHIDLANDING_SEEDS asks for all strikes and so many more seeds; without it, each point has a
 // part of them.
-int seeds_asked() {
-    const char* seeds = std::getenv("ORCHIDLANDING_SEEDS");
-    return seeds ? std::atoi(seeds) : 0;
-}
-
 class RestartPoints : public testing::TestWithParam<std::size_t> {};
 
 TEST_P(RestartPoints, AreSurvivedByEveryJob) {
@@ -558,16 +554,7 @@
 }
 INSTANTIATE_TEST_SUITE_P(Seeds, RestartRandom, testing::Range(1, 13));
 
-TEST(RestartSeeds, AsManyAsAreAskedFor) {
-    if (seeds_asked() == 0) {
-        GTEST_SKIP() << "ORCHIDLANDING_SEEDS is not set";
-    }
-    const char* from = std::getenv("ORCHIDLANDING_FIRST_SEED");
-    int first = from ? std::atoi(from) : 13;
-    for (int seed = first; seed < first + seeds_asked(); ++seed) {
-        play(static_cast<std::uint64_t>(seed));
-    }
-}
+TEST(RestartSeeds, AsManyAsAreAskedFor) { play_seeds_asked(13, play); }
 
 } // namespace
 } // namespace orchidlanding::test
--- /dev/null
+++ b/tests/seeds.h
@@ -0,0 +1,31 @@
+// Seeds of the randomised tests beyond those of CI: ORCHIDLANDING_SEEDS=200 asks for so many, from
+// ORCHIDLANDING_FIRST_SEED on.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+namespace orchidlanding::test {
+
+inline int seeds_asked() {
+    const char* seeds = std::getenv("ORCHIDLANDING_SEEDS");
+    return seeds ? std::atoi(seeds) : 0;
+}
+
+// Skips the test where none are asked for.
+template <class Play> void play_seeds_asked(int usual_first, Play play) {
+    if (seeds_asked() == 0) {
+        GTEST_SKIP() << "ORCHIDLANDING_SEEDS is not set";
+    }
+    const char* from = std::getenv("ORCHIDLANDING_FIRST_SEED");
+    int first = from ? std::atoi(from) : usual_first;
+    for (int seed = first; seed < first + seeds_asked(); ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        play(static_cast<std::uint64_t>(seed));
+    }
+}
+
+} // namespace orchidlanding::test
--- a/tests/share_test.cpp
+++ b/tests/share_test.cpp
@@ -8,6 +8,7 @@
 #include "core/mover.h"
 #include "core/parts.h"
 #include "policy/defaults.h"
+#include "seeds.h"
 #include "world.h"
 
 namespace orchidlanding::test {
@@ -962,19 +963,7 @@
 TEST_P(ShareRandom, RulesHoldWhileSharesMove) { play(static_cast<std::uint64_t>(GetParam())); }
 INSTANTIATE_TEST_SUITE_P(Seeds, ShareRandom, testing::Range(1, 17));
 
-// ORCHIDLANDING_SEEDS=200 plays so many more, from ORCHIDLANDING_FIRST_SEED on; without it this
-// asks for nothing.
-TEST(ShareSeeds, AsManyAsAreAskedFor) {
-    const char* seeds = std::getenv("ORCHIDLANDING_SEEDS");
-    if (!seeds) {
-        GTEST_SKIP() << "ORCHIDLANDING_SEEDS is not set";
-    }
-    const char* from = std::getenv("ORCHIDLANDING_FIRST_SEED");
-    int first = from ? std::atoi(from) : 17;
-    for (int seed = first; seed < first + std::atoi(seeds); ++seed) {
-        play(static_cast<std::uint64_t>(seed));
-    }
-}
+TEST(ShareSeeds, AsManyAsAreAskedFor) { play_seeds_asked(17, play); }
 
 } // namespace
 } // namespace orchidlanding::test
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -303,7 +303,7 @@
     unfit.types = {"none"};
     submit(node, unfit);
     unfit.id += "9";
-    unfit.types = {};
+    unfit.types.reset();
     unfit.team = "nobody";
     submit(node, unfit);
 }
