A node that hears several machines again is not deaf any more

When all workers were mute for 8 s all nodes took themselves for deaf and abstained for two leases: the next job began 32.5 s after the workers were heard again, 4.0 s now (fake clock).

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 constexpr char kCatalog[] = "catalog";
-constexpr int kUnanswered = 3; // machines in a row
+constexpr int kUnanswered = 3;         // machines in a row
+constexpr std::size_t kHeardAgain = 3; // machines
 constexpr RequestId kLocalRequest = 1ULL << 62;
 } // namespace
 
@@ -166,6 +167,15 @@
 
 void Controller::on_report(Time now, const WorkerReport& in) {
     worker_heard_ = now; // whether or not it can be served
+    if (now < abstain_until_) {
+        // Several machines reach it again, so it is not deaf any more. When all workers were mute,
+        // all nodes took themselves for deaf, and nobody had any part for two leases after the
+        // first worker was heard again.
+        heard_since_.insert(in.report.machine);
+        if (heard_since_.size() >= kHeardAgain) {
+            abstain_until_ = now;
+        }
+    }
     abstain_leases_ = kAbstainLeases;
     for (auto& [p, owner] : owners_) {
         owner->heard_worker();
@@ -262,6 +272,7 @@
         // lease ends by itself, and this node does not come back to them for a while.
         abstain_until_ = now + abstain_leases_ * facts_.lease_s;
         abstain_leases_ *= 2;
+        heard_since_.clear();
         lose_all(now, "deaf");
     }
     capacity_.tick(now);
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -87,6 +87,7 @@
     Time worker_heard_ = 0;
     Time abstain_until_ = 0;
     double abstain_leases_ = kAbstainLeases; // doubles while no worker is heard
+    std::set<std::string> heard_since_;      // machines that reported while it abstains
     Time state_answered_ = -1e9;             // the last answer that was the state service's own
 };
 
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -569,5 +569,38 @@
     EXPECT_LT(w.longest_cancelled(), w.facts(0).cancel_s);
 }
 
+// No worker reaches any controller, direct commands reach them. Each node takes itself for deaf,
+// gives its parts up and stays away from them for longer each time; once workers are heard again
+// they are to be served at once all the same.
+TEST(MeetingsAlone, WorkersHeardAgainAfterAllWereMuteAreServedSoon) {
+    for (double mute_s : {8.0, 20.0, 45.0, 90.0}) {
+        SCOPED_TRACE(std::to_string(mute_s));
+        World w({.nodes = 5, .run_s = 20, .limits = 10, .capacity = 60, .notices = true});
+        w.run_for(40);
+        for (int k = 1; k <= 10; ++k) {
+            w.submit(k % 5, w.job("req-" + std::to_string(k), 12));
+        }
+        w.run_for(25);
+        auto mute = [&](bool is) {
+            for (const auto& machine : w.machines_up()) {
+                w.mute(machine, is);
+            }
+        };
+        mute(true);
+        w.run_for(mute_s);
+        mute(false);
+        Time heard = w.now();
+        w.submit(1, w.job("req-99", 4));
+        while (w.starts({"req-99", 0}) == 0 && w.now() < heard + 200) {
+            w.run_for(0.5);
+        }
+        std::printf("mute %.0f s: served after %.1f s, given up as deaf %zu times\n", mute_s,
+                    w.now() - heard, w.logged("event=part_dropped"));
+        EXPECT_LT(w.now() - heard, w.facts(0).lease_s);
+        w.run_for(60);
+        EXPECT_TRUE(w.broken.empty()) << w.broken.front();
+    }
+}
+
 } // namespace
 } // namespace orchidlanding::test
