--- a/tests/run.sh
+++ b/tests/run.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 jobs=$(nproc)
 sh tests/known_red_test.sh
-cmake -S . -B target/test -DORCHIDLANDING_TESTS=ON -DCMAKE_BUILD_TYPE=Debug \
+cmake -S . -B target/test -DORCHIDLANDING_TESTS=ON -DORCHIDLANDING_SCALE=ON -DCMAKE_BUILD_TYPE=Debug \
   -DORCHIDLANDING_SANITIZE=address,undefined
 cmake --build target/test -j"$jobs"
 sh tests/known_red.sh target/test KNOWN-RED.txt -j"$jobs"
--- /dev/null
+++ b/tests/scale_test.cpp
@@ -0,0 +1,394 @@
+// The parts of the scale run: each rule is seen to be judged by a made history that breaks it, and
+// the models of worker, state service and cloud keep the protocol.
+#include <gtest/gtest.h>
+
+#include <filesystem>
+
+#include "scale/checker.h"
+#include "scale/cloud_model.h"
+#include "scale/hollow_worker.h"
+#include "scale/state_store.h"
+
+namespace orchidlanding::scale {
+namespace {
+
+using Kind = Event::Kind;
+constexpr char kJob[] = "req-1";
+constexpr double kCancel_s = 42;
+
+MachineType machine_type() { return {"m8", 8, 0, 32, 20, 1, 1.0, 0.4, 10, {"a", "b"}}; }
+
+JobSpec spec_of(const std::string& id) {
+    JobSpec s;
+    s.id = id;
+    s.job_class = "scan";
+    s.team = "red";
+    s.tasks = 3;
+    s.cpus = 2;
+    s.ram_gb = 2;
+    s.image = "img";
+    s.image_gb = 1;
+    s.zone = "a";
+    return s;
+}
+
+class CheckerTest : public testing::Test {
+  protected:
+    void SetUp() override {
+        Checker::Setting setting;
+        setting.teams = {{"red", 4, 4, 0, 0}};
+        setting.type = machine_type();
+        setting.cancel_s = kCancel_s;
+        setting.lowering_s = 20;
+        setting.job = [](const std::string& id) -> std::optional<JobSpec> {
+            return id == kJob ? std::optional(spec_of(id)) : std::nullopt;
+        };
+        checker.emplace(setting);
+    }
+    void machine(Kind kind, Time time, std::uint32_t task, const char* name, const char* zone = "a",
+                 bool spot = false) {
+        Event e;
+        e.kind = kind;
+        e.time = time;
+        e.machine = name;
+        e.zone = zone;
+        e.spot = spot;
+        e.task = {kJob, task};
+        checker->take(e);
+    }
+    void user(Kind kind, Time time, int status, const char* stage, const char* job = kJob) {
+        Event e;
+        e.kind = kind;
+        e.time = time;
+        e.task.job = job;
+        e.request = ++request;
+        checker->take(e);
+        e.kind = Kind::answered;
+        e.time += 0.1;
+        e.status = status;
+        e.stage = stage;
+        checker->take(e);
+    }
+    void limit(Time time, double cpus_max) {
+        Event e;
+        e.kind = Kind::limit;
+        e.time = time;
+        e.stage = "red";
+        e.amount = cpus_max;
+        checker->take(e);
+    }
+    void accept() { user(Kind::submit, 1, 201, "pending"); }
+    bool found(const std::string& rule) const {
+        return checker->broken().size() == 1 && checker->broken()[0].starts_with(rule);
+    }
+
+    std::optional<Checker> checker;
+    std::uint64_t request = 0;
+};
+
+TEST_F(CheckerTest, AHistoryThatKeepsAllRules) {
+    accept();
+    machine(Kind::came, 2, 0, "x");
+    machine(Kind::came, 2, 1, "x");
+    machine(Kind::went, 3, 1, "x"); // lost with its slot, and started again elsewhere
+    machine(Kind::came, 4, 1, "y");
+    machine(Kind::done, 5, 0, "x");
+    machine(Kind::came, 5, 2, "x");
+    machine(Kind::done, 6, 1, "y");
+    machine(Kind::done, 6, 2, "x");
+    user(Kind::submit, 7, 200, "done");
+    user(Kind::poll, 8, 200, "done");
+    user(Kind::poll, 8, 404, "", "req-9");
+    checker->end(100);
+    EXPECT_TRUE(checker->broken().empty()) << checker->broken().front();
+}
+
+TEST_F(CheckerTest, RanTwice) {
+    accept();
+    machine(Kind::came, 2, 0, "x");
+    machine(Kind::came, 3, 0, "y");
+    EXPECT_TRUE(found("ran_twice"));
+}
+
+TEST_F(CheckerTest, Quota) {
+    accept();
+    machine(Kind::came, 2, 0, "x");
+    machine(Kind::came, 2, 1, "x");
+    machine(Kind::came, 2, 2, "x");
+    EXPECT_TRUE(found("quota"));
+}
+
+TEST_F(CheckerTest, ALoweredLimitCountsFromTheEndOfItsTime) {
+    accept();
+    machine(Kind::came, 2, 0, "x");
+    machine(Kind::came, 2, 1, "x");
+    limit(10, 2);
+    machine(Kind::went, 29.9, 1, "x"); // in time
+    machine(Kind::came, 31, 1, "x");   // above what holds now
+    EXPECT_TRUE(found("quota"));
+}
+
+TEST_F(CheckerTest, AboveALoweredLimitUntilTheEnd) {
+    accept();
+    machine(Kind::came, 2, 0, "x");
+    machine(Kind::came, 2, 1, "x");
+    limit(10, 2);
+    checker->end(31);
+    EXPECT_TRUE(found("quota"));
+}
+
+TEST_F(CheckerTest, ALimitLoweredTwiceAllowsTheHighestOfItsTime) {
+    accept();
+    machine(Kind::came, 2, 0, "x");
+    machine(Kind::came, 2, 1, "x");
+    limit(10, 3);
+    limit(11, 2);
+    machine(Kind::went, 30.5, 1, "x");
+    EXPECT_TRUE(checker->broken().empty());
+}
+
+TEST_F(CheckerTest, WrongPlaceByZone) {
+    accept();
+    machine(Kind::came, 2, 0, "x", "b");
+    EXPECT_TRUE(found("wrong_place"));
+}
+
+TEST_F(CheckerTest, WrongPlaceByKind) {
+    accept();
+    machine(Kind::came, 2, 0, "x", "a", true);
+    EXPECT_TRUE(found("wrong_place"));
+}
+
+TEST_F(CheckerTest, RanCancelledOnAMachineTooLong) {
+    accept();
+    machine(Kind::came, 2, 0, "x");
+    user(Kind::cancel, 3, 200, "cancelled");
+    checker->end(3 + kCancel_s + 1);
+    EXPECT_TRUE(found("ran_cancelled"));
+}
+
+TEST_F(CheckerTest, RanCancelledByALateStart) {
+    accept();
+    user(Kind::cancel, 3, 200, "cancelled");
+    machine(Kind::came, 3 + kCancel_s + 1, 0, "x");
+    EXPECT_TRUE(found("ran_cancelled"));
+}
+
+TEST_F(CheckerTest, NotDone) {
+    accept();
+    machine(Kind::came, 2, 0, "x");
+    machine(Kind::done, 3, 0, "x");
+    user(Kind::poll, 4, 200, "done");
+    EXPECT_TRUE(found("not_done"));
+}
+
+TEST_F(CheckerTest, WentBack) {
+    accept();
+    user(Kind::cancel, 3, 200, "cancelled");
+    user(Kind::poll, 5, 200, "pending");
+    EXPECT_TRUE(found("went_back"));
+}
+
+TEST_F(CheckerTest, Forgotten) {
+    accept();
+    user(Kind::poll, 5, 404, "");
+    EXPECT_TRUE(found("forgotten"));
+}
+
+TEST_F(CheckerTest, InventedToAUser) {
+    user(Kind::poll, 5, 200, "pending", "req-9");
+    EXPECT_TRUE(found("invented"));
+}
+
+TEST_F(CheckerTest, InventedOnAMachine) {
+    machine(Kind::came, 2, 0, "x");
+    EXPECT_TRUE(found("invented"));
+}
+
+TEST(ScaleHistory, IsReadAsItWasWritten) {
+    std::string file = testing::TempDir() + "scale-history";
+    Event e;
+    e.kind = Kind::answered;
+    e.time = 12.5;
+    e.task = {kJob, 7};
+    e.request = 3;
+    e.status = 200;
+    e.stage = "pending";
+    e.spot = true;
+    HistoryWriter(file).write(e);
+    auto read = read_history(file);
+    ASSERT_EQ(read.size(), 1U);
+    EXPECT_EQ(read[0].kind, e.kind);
+    EXPECT_EQ(read[0].time, e.time);
+    EXPECT_EQ(read[0].task, e.task);
+    EXPECT_EQ(read[0].request, e.request);
+    EXPECT_EQ(read[0].stage, e.stage);
+    EXPECT_EQ(read[0].machine, "");
+    EXPECT_TRUE(read[0].spot);
+    std::filesystem::remove(file);
+}
+
+class HollowWorkerTest : public testing::Test {
+  protected:
+    HollowWorkerTest() {
+        around.job = [](const std::string& id) -> std::optional<JobSpec> { return spec_of(id); };
+        around.run_s = [](const TaskRef&) { return 10.0; };
+        around.completed = [this](const TaskRef& t) { return completed.contains(t); };
+        around.came = [this](Time, const std::string&, const TaskRef& t) { there.insert(t); };
+        around.went = [this](Time, const std::string&, const TaskRef& t, bool done) {
+            there.erase(t);
+            if (done) {
+                completed.insert(t);
+            }
+        };
+    }
+    static Command start(std::uint32_t task, std::uint64_t attempt) {
+        return {Op::start, {kJob, task}, attempt, 0};
+    }
+    std::set<TaskRef> there;
+    std::set<TaskRef> completed;
+    HollowWorker::Surroundings around;
+    HollowWorker worker{0, {"i-1", "127.0.0.1:1", "a", false}, machine_type(), 17, around};
+};
+
+TEST_F(HollowWorkerTest, ATaskFetchesRunsExitsAndIsCleared) {
+    EXPECT_EQ(worker.order(1, {5, 1, {start(0, 9)}}), 200);
+    Report r = worker.report(1.5, true);
+    ASSERT_EQ(r.tasks.size(), 1U);
+    EXPECT_EQ(r.tasks[0].stage, TaskStage::fetching);
+    EXPECT_EQ(r.token, 5U);
+    worker.advance(2.1); // one GB at one a second
+    EXPECT_TRUE(there.contains({kJob, 0}));
+    worker.answered(10, 1, 9, {5, {}});
+    worker.advance(12.2);
+    EXPECT_TRUE(completed.contains({kJob, 0}));
+    EXPECT_EQ(worker.report(12.3, true).tasks[0].why, ExitWhy::done);
+    EXPECT_EQ(worker.order(12.4, {5, 1, {{Op::clear, {kJob, 0}, 9, 0}}}), 200);
+    EXPECT_TRUE(worker.report(12.5, true).tasks.empty());
+}
+
+TEST_F(HollowWorkerTest, LowerTokensAndOtherSessionsAreRefused) {
+    EXPECT_EQ(worker.order(1, {5, 1, {}}), 200);
+    EXPECT_EQ(worker.order(1, {4, 1, {start(0, 9)}}), 409);
+    EXPECT_EQ(worker.order(1, {6, 2, {start(0, 9)}}), 409);
+    EXPECT_FALSE(worker.answered(1, 1, 1, {4, {start(0, 9)}}));
+    EXPECT_FALSE(worker.answered(1, 1, 1, {0, {start(0, 9)}}));
+    EXPECT_TRUE(worker.report(1, true).tasks.empty());
+}
+
+TEST_F(HollowWorkerTest, TheLeaseRunsFromTheSendingOfTheLastAnsweredReport) {
+    worker.order(1, {5, 1, {start(0, 9)}});
+    worker.answered(6, 1, 4, {5, {}});
+    worker.advance(20.9);
+    EXPECT_EQ(worker.session(), 1U);
+    worker.advance(21.1);
+    EXPECT_EQ(worker.session(), 2U);
+    EXPECT_TRUE(there.empty());
+    EXPECT_FALSE(worker.answered(22, 1, 20, {5, {start(1, 9)}})); // of the session before
+}
+
+TEST_F(HollowWorkerTest, RefusesWhatHasNoRoomOrRunsAlready) {
+    worker.order(1, {5, 1, {start(0, 9), start(0, 10), start(1, 9), start(2, 9)}});
+    Report r = worker.report(1, true);
+    ASSERT_EQ(r.tasks.size(), 4U);
+    EXPECT_EQ(r.tasks[1].why, ExitWhy::busy);
+    for (std::uint32_t i = 0; i < 3; ++i) { // four places, three of them taken
+        worker.order(1, {5, 1, {{Op::start, {"req-2", i}, 9, 0}}});
+    }
+    EXPECT_EQ(worker.report(1, true).tasks.back().why, ExitWhy::no_room);
+}
+
+class StateStoreTest : public testing::Test {
+  protected:
+    static Json set(const char* key, int value) { return {{"set", key}, {"data", value}}; }
+    StateStore store;
+};
+
+TEST_F(StateStoreTest, TransactionsAreAtomicAndConditional) {
+    EXPECT_EQ(store
+                  .transact(0, {{"when", {{{"key", "a"}, {"graft", 0}}}},
+                                {"then", {set("a", 1), set("b", 2)}}})
+                  .status,
+              200);
+    auto again =
+        store.transact(0, {{"when", {{{"key", "a"}, {"graft", 0}}}}, {"then", {set("c", 1)}}});
+    EXPECT_EQ(again.status, 409);
+    EXPECT_EQ(again.body["failed"], Json::array({"a"}));
+    EXPECT_EQ(store.get("c").status, 404);
+    EXPECT_EQ(store.get("a").body["graft"], store.get("b").body["graft"]);
+    EXPECT_EQ(store.range("", "a", 10).body["pairs"].size(), 1U);
+}
+
+TEST_F(StateStoreTest, LeasesTakeTheirKeysAlong) {
+    std::uint64_t lease = store.grant(0, 5).body["lease"];
+    store.transact(0, {{"then", {{{"set", "a"}, {"data", 1}, {"lease", lease}}}}});
+    EXPECT_EQ(store.renew(4, lease).status, 200);
+    EXPECT_FALSE(store.expire(8.9));
+    std::uint64_t before = store.revision();
+    EXPECT_TRUE(store.expire(9.1));
+    EXPECT_EQ(store.get("a").status, 404);
+    EXPECT_EQ(store.renew(9.2, lease).status, 404);
+    auto late = store.transact(9.3, {{"then", {{{"set", "a"}, {"data", 1}, {"lease", lease}}}}});
+    EXPECT_EQ(late.status, 400);
+    auto watch = store.watch("a", before);
+    ASSERT_TRUE(watch);
+    EXPECT_EQ(watch->body["events"][0]["drop"], "a");
+}
+
+TEST_F(StateStoreTest, WatchesSeeWhatComesAfterAndAreTooOldInTheEnd) {
+    std::uint64_t since = store.revision();
+    EXPECT_FALSE(store.watch("a", since));
+    store.transact(0, {{"then", {set("a/1", 1)}}});
+    store.transact(0, {{"then", {set("b/1", 1)}}});
+    auto news = store.watch("a", since);
+    ASSERT_TRUE(news);
+    EXPECT_EQ(news->body["events"].size(), 1U);
+    EXPECT_FALSE(store.watch("a", store.revision()));
+    for (std::size_t i = 0; i < StateStore::kChangesKept; ++i) {
+        store.transact(0, {{"then", {set("b/1", 1)}}});
+    }
+    EXPECT_EQ(store.watch("a", since)->status, 410);
+}
+
+TEST(ScaleCloud, RentsWhatWasReleasedAndNoMore) {
+    Options o;
+    o.workers = 6;
+    o.tasks = 6;
+    Plan plan(o, 0);
+    CloudModel cloud(plan, 0);
+    EXPECT_TRUE(cloud.rent(1, "r-1", plan.zone(0), false, 2).empty());
+    cloud.release({plan.machine_name(0)});
+    auto names = cloud.rent(1, "r-1", plan.zone(0), false, 2);
+    ASSERT_EQ(names.size(), 1U);
+    EXPECT_EQ(cloud.rent(2, "r-1", plan.zone(0), false, 2), names); // the same order again
+    EXPECT_TRUE(cloud.up(2).empty());
+    EXPECT_EQ(cloud.up(1 + plan.machine_type().boot_s), names);
+    cloud.died(60, names[0]);
+    bool more = false;
+    EXPECT_EQ(cloud.list(61, "", 500, more).back().stage, HostStage::running);
+    EXPECT_EQ(cloud.list(91, "", 500, more).back().stage, HostStage::failed);
+}
+
+TEST(ScaleOptions, ARunThatWouldTakeTooMuchIsRefusedBeforeItBegins) {
+    Options o;
+    o.daemon = "/bin/sh";
+    EXPECT_NO_THROW(check(o, 24e9));
+    auto refused = [&](auto change, const std::string& key) {
+        Options bad = o;
+        change(bad);
+        try {
+            check(bad, 24e9);
+        } catch (const CannotPlay& why) {
+            return std::string(why.what()).starts_with(key);
+        }
+        return false;
+    };
+    EXPECT_TRUE(refused([](Options& b) { b.workers = 200000, b.regions = 6; }, "--workers"));
+    EXPECT_TRUE(refused([](Options& b) { b.regions = 40, b.controllers = 8; }, "--controllers"));
+    EXPECT_TRUE(refused([](Options& b) { b.daemon = "/nowhere"; }, "--daemon"));
+    EXPECT_TRUE(refused([](Options& b) { b.starts = 0; }, "--starts"));
+    EXPECT_TRUE(refused([](Options& b) { b.replace = 1000; }, "--replace"));
+}
+
+} // namespace
+} // namespace orchidlanding::scale
