--- a/src/core/borrowing.cpp
+++ b/src/core/borrowing.cpp
@@ -513,8 +513,9 @@
     TaskRef task{job.spec.id, index};
     jobs_.place(job, index, g.zone);
     teams_.use(job.spec.team, job.spec.cpus, job.spec.gpus);
-    placed(task, {g.id.attempt, part, g.machine, g.zone,
-                  share_of_machine(facts_, g.machine, g.zone), term_of_token(g.token)});
+    placed(task,
+           {g.id.attempt, part, g.machine, g.zone, share_of_machine(facts_, g.machine, g.zone),
+            term_of_token(g.token), g.endpoint, g.session, g.token});
     Orders orders{g.machine, g.endpoint, g.token, g.session, {{Op::start, task, g.id.attempt, 0}}};
     calls_.send(std::move(orders), [this, task, part, machine = g.machine,
                                     id = g.id](Time at, CallReply& reply) {
@@ -552,4 +553,19 @@
     }
 }
 
+bool Borrowing::stop_untold(const TaskRef& task, double grace_s) {
+    auto it = remote_.find(task);
+    if (it == remote_.end() || it->second.endpoint.empty()) {
+        return false;
+    }
+    const Remote& r = it->second;
+    if (!peers_.at(r.part).told.contains({start_id(r.attempt, task.index), r.machine})) {
+        return false;
+    }
+    calls_.send(
+        Orders{r.machine, r.endpoint, r.token, r.session, {{Op::stop, task, r.attempt, grace_s}}},
+        [](Time, CallReply&) {}); // that it is gone, only its machine's owner can say
+    return true;
+}
+
 } // namespace orchidlanding
--- a/src/core/borrowing.h
+++ b/src/core/borrowing.h
@@ -41,6 +41,10 @@
         std::string zone;
         ShareId share;
         std::uint64_t term = 0; // of the share, when the slot was given or the task last listed
+        // As the slot was given to this owner; no endpoint: by one before, or it moved.
+        std::string endpoint;
+        std::uint64_t session = 0;
+        std::uint64_t token = 0;
     };
     Borrowing(Claim& claim, const Facts& facts, const Policy& policy, const PartTable& table,
               const Holdings& holdings, JobStore& jobs, Teams& teams, Gangs& gangs,
@@ -65,6 +69,10 @@
     // The job's tasks on other parts' machines are stopped by the owners of these.
     void stop_job(const std::string& job, double grace_s);
     void stop_task(const TaskRef& task, double grace_s);
+    // The machine's owner has not taken the word to stop the task: the worker is told as it was
+    // told of the start. An owner that has fenced the machine since is the only one that it hears.
+    // False: there is no need, or no way.
+    bool stop_untold(const TaskRef& task, double grace_s);
     // Tasks of ours on other parts' machines.
     const std::map<TaskRef, Remote>& remote() const { return remote_; }
     // ---- Moves of shares ----
--- a/src/core/part_owner.cpp
+++ b/src/core/part_owner.cpp
@@ -541,11 +541,7 @@
                                     (knows ? "known" : "not_known") +
                                     " part=" + std::to_string(claim_.part()));
     }
-    if (bool known = config_.known(now, claim_.since()); known != config_known_) {
-        config_known_ = known;
-        teams_.know(known);
-        order_.stale();
-    }
+    learn_config(now);
     shed(now);
     check_leases(now);
     lending_.fence_lots(now);
--- a/src/core/part_owner.h
+++ b/src/core/part_owner.h
@@ -139,8 +139,10 @@
         std::uint64_t attempt = 0;
         double grace_s = 0;
     };
+    void learn_config(Time now);
     void shed(Time now);
     void shed(Time now, const std::string& team);
+    void tell_directly(Time now);
     std::vector<Shed> may_go(const std::string& team);
     void mark_borrowers(const std::string& team);
 
@@ -173,8 +175,13 @@
 
     const TeamConfig& config_; // the node's
     std::set<std::string> own_teams_;
-    std::map<TaskRef, Time> shedding_; // told to stop for a limit, and when they are told again
-    JobIndex& index_;                  // the node's, told of each job record that this owner sees
+    struct Going {       // told to stop for a limit
+        Time again = 0;  // not gone by then, it is told again
+        Time direct = 0; // another part's machine is told by us, if its owner has not heard by then
+        double grace_s = 0;
+    };
+    std::map<TaskRef, Going> shedding_;
+    JobIndex& index_; // the node's, told of each job record that this owner sees
     Roster roster_;
     WaitingOrder order_;
     DemandBook demand_;
--- a/src/core/shedding.cpp
+++ b/src/core/shedding.cpp
@@ -26,6 +26,15 @@
     borrowing_.call(now);
 }
 
+// Is the configuration known that owners before us had in force, and new enough to start tasks by?
+void PartOwner::learn_config(Time now) {
+    if (bool known = config_.known(now, claim_.since()); known != config_known_) {
+        config_known_ = known;
+        teams_.know(known);
+        order_.stale();
+    }
+}
+
 // Which tasks run beyond the team's guarantee as it is now: those that count first are within it.
 void PartOwner::mark_borrowers(const std::string& team) {
     const TeamFacts& facts = *teams_.facts(team);
@@ -45,18 +54,30 @@
 void PartOwner::shed(Time now) {
     std::erase_if(shedding_, [&](const auto& s) {
         const Job* job = jobs_.find(s.first.job);
-        return now >= s.second || !job || job->tasks[s.first.index] != TaskState::placed;
+        return now >= s.second.again || !job || job->tasks[s.first.index] != TaskState::placed;
     });
     for (const auto& team : teams_.over()) {
         if (own_teams_.contains(team)) {
             shed(now, team);
         }
     }
+    tell_directly(now);
+}
+
+// Guests of owners whom our calls do not reach would stay for as long as these renew their leases.
+void PartOwner::tell_directly(Time now) {
+    int most = facts_.orders_at_once / 2; // a step; starts have their share of the sockets
+    for (auto& [task, going] : shedding_) {
+        if (most > 0 && now >= going.direct && borrowing_.stop_untold(task, going.grace_s)) {
+            going.direct = now + facts_.report_s;
+            --most;
+        }
+    }
 }
 
 void PartOwner::shed(Time now, const std::string& team) {
     auto [cpus, gpus] = teams_.over(team);
-    for (const auto& [task, until] : shedding_) { // on their way already
+    for (const auto& [task, going] : shedding_) { // on their way already
         const JobSpec& s = jobs_.find(task.job)->spec;
         if (s.team == team) {
             cpus -= s.cpus;
@@ -82,16 +103,17 @@
         }
         cpus -= s.cpus;
         gpus -= s.gpus;
-        Time again = now + s.grace_s + facts_.lease_s; // a silent machine has none of it by then
+        // A silent machine has none of it by then.
+        Going going{now + s.grace_s + facts_.lease_s, now + facts_.report_s / 2, s.grace_s};
         if (s.gang) {
             const Job& job = *jobs_.find(s.task.job);
             for (std::uint32_t i = 0; i < job.spec.tasks; ++i) {
                 if (job.tasks[i] == TaskState::placed) {
-                    shedding_[{s.task.job, i}] = again;
+                    shedding_[{s.task.job, i}] = going;
                 }
             }
             end_attempt(now, s.task.job, s.grace_s > 0);
-        } else if (shedding_[s.task] = again; s.machine) {
+        } else if (shedding_[s.task] = going; s.machine) {
             machines_.queue_stop(*s.machine, s.task, s.attempt, s.grace_s);
         } else {
             borrowing_.stop_task(s.task, s.grace_s);
--- a/src/core/takeover.cpp
+++ b/src/core/takeover.cpp
@@ -96,6 +96,7 @@
         relist(m);
     }
     count_doubtful();
+    learn_config(now);
     settle(now);
 }
 
--- a/src/core/team_config.cpp
+++ b/src/core/team_config.cpp
@@ -226,7 +226,7 @@
         [this, sent = now](Time at, CallReply& reply) {
             watching_ = false;
             if (reply.status != 200) {
-                read_again_ = read_again_ || reply.status == 410;
+                read_again_ = true; // what it missed comes at once, not with the end of the next
                 next_ = at + again_s_;
                 return;
             }
--- a/src/core/user_desk.cpp
+++ b/src/core/user_desk.cpp
@@ -8,6 +8,7 @@
 namespace orchidlanding {
 
 namespace {
+constexpr char kNoType[] = "fits no allowed machine type";
 std::string key_of(const std::string& job) { return kJobs + job; }
 
 bool fits(const JobSpec& s, const std::vector<MachineType>& types) {
@@ -42,9 +43,9 @@
     std::string why = refusal(spec, config_.team(spec.team));
     bool by_team = !why.empty();
     // The cloud may have a type by now that it fits.
-    bool unsure = why.empty() && !current;
-    if (why.empty() && !fits(spec, types)) {
-        why = "fits no allowed machine type";
+    bool unsure = !by_team && !current;
+    if (!by_team && !fits(spec, types)) {
+        why = kNoType;
     }
     if (why.empty()) {
         create(now, submit.request, spec);
@@ -56,23 +57,30 @@
         [this, request = submit.request, id = spec.id](Time, const KeyedRecord&) {
             answer_open(calls_, counts_, request, id);
         },
-        [this, request = submit.request, why, unsure, by_team, spec, now] {
+        [this, request = submit.request, why, unsure, by_team, spec, &types, current, now] {
             if (by_team) {
-                refuse_by_newest(now, request, spec);
-            } else if (unsure) {
-                calls_.answer(request, 503, Plain{"machine types may have changed"}, 1);
+                refuse_by_newest(now, request, spec, types, current);
             } else {
-                calls_.answer(request, 422, Plain{why});
+                refuse(request, why, unsure);
             }
         });
 }
 
+void UserDesk::refuse(RequestId request, const std::string& why, bool unsure) {
+    if (unsure) {
+        calls_.answer(request, 503, Plain{"machine types may have changed"}, 1);
+    } else {
+        calls_.answer(request, 422, Plain{why});
+    }
+}
+
 // By what is in force here the team's limit refuses the job. It may have been raised: only the
 // newest one refuses for good.
-void UserDesk::refuse_by_newest(Time now, RequestId request, const JobSpec& spec) {
+void UserDesk::refuse_by_newest(Time now, RequestId request, const JobSpec& spec,
+                                const std::vector<MachineType>& types, bool current) {
     bool sent = calls_.send_state(
         now, StateBudget::Use::user, Get{kTeamConfig + spec.team},
-        [this, request, spec](Time at, CallReply& reply) {
+        [this, request, spec, &types, current](Time at, CallReply& reply) {
             const TeamFacts* newest = config_.settings(spec.team); // without a key
             if (reply.status == 200 && !reply.items.empty()) {
                 const KeyedRecord& item = reply.items[0];
@@ -84,11 +92,12 @@
                 answer_busy(calls_, request);
                 return;
             }
-            std::string why = refusal(spec, newest);
-            if (why.empty()) {
-                create(at, request, spec);
+            if (std::string why = refusal(spec, newest); !why.empty()) {
+                refuse(request, why, false);
+            } else if (!fits(spec, types)) {
+                refuse(request, kNoType, !current);
             } else {
-                calls_.answer(request, 422, Plain{why});
+                create(at, request, spec);
             }
         });
     if (!sent) {
--- a/src/core/user_desk.h
+++ b/src/core/user_desk.h
@@ -17,7 +17,8 @@
         : calls_(calls), index_(index), config_(config), counts_(std::move(counts)),
           cancelled_(std::move(cancelled)), notices_(facts, calls) {}
 
-    // `current`: the types are the cloud's own, not what was heard of them at an earlier start.
+    // `types`: the node's, which outlive the call. `current`: they are the cloud's own, not what
+    // was heard of them at an earlier start.
     void submit(Time now, const Submit& submit, const std::vector<MachineType>& types,
                 bool current);
     void cancel(Time now, const Cancel& cancel, int tries_left = 3);
@@ -26,7 +27,9 @@
 
   private:
     static std::string refusal(const JobSpec& spec, const TeamFacts* team);
-    void refuse_by_newest(Time now, RequestId request, const JobSpec& spec);
+    void refuse(RequestId request, const std::string& why, bool unsure);
+    void refuse_by_newest(Time now, RequestId request, const JobSpec& spec,
+                          const std::vector<MachineType>& types, bool current);
     void confirm(Time now, const Cancel& cancel);
     void create(Time now, RequestId request, const JobSpec& spec);
     // Reads the job and answers, but for what only the caller can say: that it is open, or that
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -254,6 +254,22 @@
     EXPECT_TRUE(kept());
 }
 
+// A higher limit that the node has not heard of does not make up for a type that there is not.
+TEST_F(ConfigTest, WhatTheNewestLimitAllowsStillHasToFitAMachine) {
+    fill();
+    w.intercept = deaf_to_config(3);
+    TeamFacts wide = w.team("t9");
+    wide.cpus_max = 100;
+    w.configure(wide);
+    w.run_for(1);
+    JobSpec job = w.job("req-50", 1, 60); // above the limit that the node has, and any machine
+    job.team = "t9";
+    RequestId request = w.submit(3, job);
+    w.run_for(2);
+    EXPECT_EQ(w.answers.at(request).status, 422);
+    EXPECT_TRUE(kept());
+}
+
 TEST_F(ConfigTest, ATeamNotHeardOfIsRefusedAfterAFreshReadOnly) {
     w.run_for(20);
     int reads = 0;
@@ -418,6 +434,7 @@
             const auto* watch = std::get_if<Watch>(&call);
             return watch && watch->prefix == kTeamConfig;
         };
+        w.run_for(8); // those under way are over
         break;
     default: break;
     }
@@ -458,9 +475,7 @@
     }
     default: break;
     }
-    // Guests stay where their machine's owner cannot be told of the stop: no longer than the stated
-    // time here.
-    w.run_for(with == peers_refuse ? 30 : 60);
+    w.run_for(60);
     w.state_down(false);
     w.state_refuses(owner, false);
     cut_off(owner, false);
@@ -479,6 +494,15 @@
     EXPECT_GE(w.used("red"), limit - 4) << "what may run does";
     EXPECT_LT(w.judge().longest_unanswered(w.now()), 75);
     EXPECT_TRUE(kept());
+    const auto& forced = w.in_force_after();
+    ASSERT_GE(forced.size(), 5U);
+    double longest = *std::max_element(forced.begin(), forced.end());
+    std::printf("%s: in force at the last of %zu after %.2f s\n", kWith[with], forced.size(),
+                longest);
+    // A node that stands still, is down or is cut off from all has no road.
+    if (with != owner_cut_off && with != owner_frozen && with != owner_ends) {
+        EXPECT_LE(longest, kForce_s);
+    }
 }
 INSTANTIATE_TEST_SUITE_P(Troubles, ConfigMeets,
                          testing::Combine(testing::Range(0, int(kWiths)), testing::Range(0, 3)),
