Read once more: the time of a call, one way to take a team's record, dead members

Cause, by reading: a refused submission's read of the team's key was sent with the time of the submission, an answer earlier; StateBudget took that for its last time and let the span count twice. Change: Missing is told the time; the budget's time does not go back, with a test (a probe of the old class gives the call, of the new one refuses it). UserDesk and TeamConfig take a record by one function.

--- a/src/core/state_budget.cpp
+++ b/src/core/state_budget.cpp
@@ -26,7 +26,7 @@
 
 void StateBudget::refill(Time now) {
     double passed = std::max(0.0, now - last_);
-    last_ = now;
+    last_ = std::max(last_, now); // a time gone back would be counted twice
     requests_ = std::min(rps_, requests_ + passed * rps_);
     writes_ = std::min(write_rps_, writes_ + passed * write_rps_);
 }
--- a/src/core/team_config.cpp
+++ b/src/core/team_config.cpp
@@ -137,15 +137,19 @@
     in_force_(now, t.facts);
 }
 
+void TeamConfig::take(Time now, const KeyedRecord& item) {
+    TeamChange change;
+    change.team = item.key.substr(sizeof(kTeamConfig) - 1);
+    change.revision = item.version;
+    if (const auto* record = std::get_if<TeamRecord>(&item.record)) {
+        change.facts = record->facts;
+    }
+    take(now, change);
+}
+
 void TeamConfig::take_items(Time now, const CallReply& reply) {
     for (const auto& item : reply.items) {
-        TeamChange change;
-        change.team = item.key.substr(sizeof(kTeamConfig) - 1);
-        change.revision = item.version;
-        if (const auto* record = std::get_if<TeamRecord>(&item.record)) {
-            change.facts = record->facts;
-        }
-        take(now, change);
+        take(now, item);
     }
 }
 
--- a/src/core/team_config.h
+++ b/src/core/team_config.h
@@ -24,6 +24,7 @@
     void read_anew(Time now);
     // What siblings name, or the state service. Older than what is known: passed over.
     void take(Time now, const TeamChange& change);
+    void take(Time now, const KeyedRecord& item); // of config/team/
     // Every change that was written by then is known here.
     void complete(Time to) { complete_to_ = std::max(complete_to_, to); }
     // May an owner whose claim began then start tasks under what is in force?
--- a/src/core/user_desk.cpp
+++ b/src/core/user_desk.cpp
@@ -57,9 +57,9 @@
         [this, request = submit.request, id = spec.id](Time, const KeyedRecord&) {
             answer_open(calls_, counts_, request, id);
         },
-        [this, request = submit.request, why, unsure, by_team, spec, &types, current, now] {
+        [this, request = submit.request, why, unsure, by_team, spec, &types, current](Time at) {
             if (by_team) {
-                refuse_by_newest(now, request, spec, types, current);
+                refuse_by_newest(at, request, spec, types, current);
             } else {
                 refuse(request, why, unsure);
             }
@@ -78,28 +78,26 @@
 // newest one refuses for good.
 void UserDesk::refuse_by_newest(Time now, RequestId request, const JobSpec& spec,
                                 const std::vector<MachineType>& types, bool current) {
-    bool sent = calls_.send_state(
-        now, StateBudget::Use::user, Get{kTeamConfig + spec.team},
-        [this, request, spec, &types, current](Time at, CallReply& reply) {
-            const TeamFacts* newest = config_.settings(spec.team); // without a key
-            if (reply.status == 200 && !reply.items.empty()) {
-                const KeyedRecord& item = reply.items[0];
-                const auto* record = std::get_if<TeamRecord>(&item.record);
-                newest = config_.team(spec.team);
-                config_.take(at, {spec.team, record ? std::optional(record->facts) : std::nullopt,
-                                  item.version});
-            } else if (reply.status != 404) {
-                answer_busy(calls_, request);
-                return;
-            }
-            if (std::string why = refusal(spec, newest); !why.empty()) {
-                refuse(request, why, false);
-            } else if (!fits(spec, types)) {
-                refuse(request, kNoType, !current);
-            } else {
-                create(at, request, spec);
-            }
-        });
+    bool sent =
+        calls_.send_state(now, StateBudget::Use::user, Get{kTeamConfig + spec.team},
+                          [this, request, spec, &types, current](Time at, CallReply& reply) {
+                              const TeamFacts* newest =
+                                  config_.settings(spec.team); // without a key
+                              if (reply.status == 200 && !reply.items.empty()) {
+                                  newest = config_.team(spec.team);
+                                  config_.take(at, reply.items[0]);
+                              } else if (reply.status != 404) {
+                                  answer_busy(calls_, request);
+                                  return;
+                              }
+                              if (std::string why = refusal(spec, newest); !why.empty()) {
+                                  refuse(request, why, false);
+                              } else if (!fits(spec, types)) {
+                                  refuse(request, kNoType, !current);
+                              } else {
+                                  create(at, request, spec);
+                              }
+                          });
     if (!sent) {
         answer_busy(calls_, request);
     }
@@ -121,7 +119,7 @@
                                       [this, request, id](Time, const KeyedRecord&) {
                                           answer_open(calls_, counts_, request, id);
                                       },
-                                      [this, request] { answer_busy(calls_, request); });
+                                      [this, request](Time) { answer_busy(calls_, request); });
                               } else {
                                   answer_busy(calls_, request);
                               }
@@ -136,7 +134,7 @@
     bool sent = calls_.send_state(now, StateBudget::Use::user, Get{key_of(id)},
                                   [this, request, id, open, missing](Time at, CallReply& reply) {
                                       if (reply.status == 404) {
-                                          missing();
+                                          missing(at);
                                           return;
                                       }
                                       if (reply.status != 200 || reply.items.empty()) {
@@ -201,7 +199,9 @@
                 answer_busy(calls_, cancel.request);
             }
         },
-        [this, request = cancel.request] { calls_.answer(request, 404, Plain{"no such job"}); });
+        [this, request = cancel.request](Time) {
+            calls_.answer(request, 404, Plain{"no such job"});
+        });
 }
 
 } // namespace orchidlanding
--- a/src/core/user_desk.h
+++ b/src/core/user_desk.h
@@ -35,7 +35,7 @@
     // Reads the job and answers, but for what only the caller can say: that it is open, or that
     // there is none.
     using Open = std::function<void(Time, const KeyedRecord&)>;
-    using Missing = std::function<void()>;
+    using Missing = std::function<void(Time)>;
     void read(Time now, RequestId request, const std::string& id, Open open, Missing missing);
 
     Calls& calls_;
--- a/src/scale/run.cpp
+++ b/src/scale/run.cpp
@@ -132,7 +132,7 @@
         counters_ = static_cast<Counters*>(shared);
         for (int r = 0; r < options_.regions; ++r) {
             new (&counters_[r]) Counters;
-            regions_.push_back({Plan(options_, r), {}, {}, 0, 0, 0});
+            regions_.push_back({Plan(options_, r), {}, 0, 0, 0});
         }
         begin();
         fill();
@@ -148,7 +148,6 @@
     struct Region {
         Plan plan;
         std::vector<pid_t> nodes;
-        std::vector<ProcessUse> before; // of those ended in the window, and at its beginning
         pid_t stand_ins = 0;
         pid_t workers = 0;
         pid_t users = 0;
--- a/src/scale/workers.cpp
+++ b/src/scale/workers.cpp
@@ -145,7 +145,7 @@
             }
             queue(number, s);
         }
-        replace(at);
+        replace();
     }
 
     void report(Time at, int number, Slot& s) {
@@ -244,7 +244,7 @@
     }
 
     // Machines that die without a word, as many as the supervisor asks for.
-    void replace(Time) {
+    void replace() {
         std::uint64_t n = std::min<std::uint64_t>(counters_.to_replace.exchange(0), slots_.size());
         if (n == 0) {
             return;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -344,6 +344,15 @@
     EXPECT_TRUE(budget.take(1.1, StateBudget::Use::renewal, 0));
 }
 
+// A call made with the time of an earlier input once let the time after it count again.
+TEST(Budget, ATimeThatGoesBackGivesNothing) {
+    StateBudget budget(10, 10, 1);
+    while (budget.take(10, StateBudget::Use::user, 0)) {
+    }
+    EXPECT_FALSE(budget.take(5, StateBudget::Use::user, 0));
+    EXPECT_FALSE(budget.take(10, StateBudget::Use::user, 0));
+}
+
 TEST(Slots, AreCountedByCpuAndMemoryAndFoundFewestFirst) {
     MachineType t{"m8", 8, 0, 32, 0, 0, 0, 0, 0, {}};
     EXPECT_EQ(slots_needed(t, 2, 0, 4), 2);
