--- a/src/core/autoscaling/autoscaler.cpp
+++ b/src/core/autoscaling/autoscaler.cpp
@@ -62,7 +62,7 @@
     for (const ScaleOut& request :
          planner_.plan_scale_out(now, cluster_demand, types_.all(), slots_by_zone())) {
         requests_.log(LogLevel::info, "event=scale_out_requested order=" + request.idempotency_key +
-                                          " zone=" + request.zone +
+                                          " type=" + request.type + " zone=" + request.zone +
                                           " spot=" + (request.spot ? "1" : "0") +
                                           " count=" + std::to_string(request.count));
         requests_.send(request, [this, request](Time at, OutboundResponse& response) {
