Rent machines of a type that the waiting jobs may use, not only the cheapest

Cause: demand and capacity were one number of slots for all types. Leaders told each other sums, the planner compared sums and rented the type with the lowest price per slot. Slots that the waiting tasks cannot use, since they are of another type or taken for good, counted as capacity for them.

Change: a leader reports its waiting tasks that only some types can run, grouped by types and size (at most 16 groups, beyond that united by types), and its idle machines by type and idle part. Every leader packs these tasks onto the idle, requested and booting machines. For what does not fit in two planning rounds in a row the provisioner rents the cheapest type that can run it; the sums for the rest leave it out. Idle machines that such tasks need are neither cordoned nor released, and cordoned ones that they can use are taken back first. Two rounds, as a lender may report a slot taken before the borrower reports that its task no longer waits.

Work that every type can run is planned as before. The fields `restricted` and `idle` of a peer sync are optional: older leaders ignore them, and while a leader does not send `idle`, machines are planned by the sums alone, as that version does.

The simulated cloud of the tests can offer several types now; it knew one.

--- a/src/core/autoscaling/capacity_planner.cpp
+++ b/src/core/autoscaling/capacity_planner.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/autoscaling/task_packing.h"
+
 namespace scheduler {
 
 namespace {
@@ -14,6 +16,8 @@
 // A released machine is remembered for this multiple of the lag of the provider's list.
 constexpr double kReleasedListLags = 10;
 constexpr double kScaleOutRetryS = 1;
+// Tolerance for rounding errors in sums of slots.
+constexpr double kRoundingSlots = 1e-6;
 } // namespace
 
 // Returns whether the machine has missed heartbeats: most likely it is gone.
@@ -55,6 +59,14 @@
     }
 }
 
+void CapacityPlanner::count_requested_machines(ClusterDemand& demand) const {
+    for (const auto& pending : pending_) {
+        const ScaleOut& request = pending.request;
+        demand.idle[{request.type, request.spot}].back() +=
+            static_cast<std::uint32_t>(request.count);
+    }
+}
+
 std::vector<ScaleOut> CapacityPlanner::plan_scale_out(Time now, const ClusterDemand& cluster_demand,
                                                       const std::vector<InstanceType>& types,
                                                       std::map<std::string, double> slots_by_zone) {
@@ -67,6 +79,7 @@
     ZoneSlots zones{std::move(slots_by_zone), demand.zone_bound_slots};
     SlotsByKind slots{cluster_demand.on_demand_slots, cluster_demand.spot_slots};
     add_pending(types, slots, zones);
+    request_for_restricted_tasks(now, types, cluster_demand.unplaced, zones, requests);
     request_missing_slots(now, types, false, demand.on_demand_slots - slots.on_demand, zones,
                           requests);
     double spare = std::max(0.0, slots.on_demand - demand.on_demand_slots);
@@ -75,18 +88,22 @@
     return requests;
 }
 
-// Returns for each zone the type with the lowest price per slot, among the offers that are not
-// avoided now.
+// Returns for each zone the type that provides the missing capacity at the lowest price, among the
+// offers that are not avoided now.
 CapacityPlanner::TypesByZone
 CapacityPlanner::cheapest_by_zone(Time now, const std::vector<InstanceType>& types,
-                                  bool spot) const {
+                                  const MissingCapacity& missing) const {
+    const bool spot = missing.spot;
     std::vector<const InstanceType*> by_price;
     by_price.reserve(types.size());
     for (const auto& type : types) {
-        by_price.push_back(&type);
+        if (missing.per_machine(type) > 0) {
+            by_price.push_back(&type);
+        }
     }
     std::stable_sort(by_price.begin(), by_price.end(), [&](const auto* a, const auto* b) {
-        return a->price_of(spot) / a->slots() < b->price_of(spot) / b->slots();
+        return a->price_of(spot) / missing.per_machine(*a) <
+               b->price_of(spot) / missing.per_machine(*b);
     });
     TypesByZone cheapest;
     for (const auto* type : by_price) {
@@ -110,24 +127,29 @@
                                  settings_.heartbeat_interval_s / 4));
 }
 
-// Requests the missing slots, machine by machine: first in the zones where zone-bound work needs
-// them, then in the zone with the fewest slots so far, of the type with the lowest price per slot
-// there. An offer that was refused is avoided for a while, so that other zones and types are tried.
-void CapacityPlanner::request_missing_slots(Time now, const std::vector<InstanceType>& types,
-                                            bool spot, double lacking_slots, ZoneSlots& zones,
-                                            std::vector<ScaleOut>& requests) {
-    TypesByZone open = cheapest_by_zone(now, types, spot);
+// Requests the missing capacity, machine by machine: first in the zones where zone-bound work needs
+// slots, then in the zone with the fewest slots so far, of the type that provides it at the lowest
+// price there. An offer that was refused is avoided for a while, so that other zones and types are
+// tried.
+void CapacityPlanner::request_missing(Time now, const std::vector<InstanceType>& types,
+                                      MissingCapacity missing, ZoneSlots& zones,
+                                      std::vector<ScaleOut>& requests) {
+    if (missing.amount <= 0) {
+        return;
+    }
+    const bool spot = missing.spot;
+    TypesByZone open = cheapest_by_zone(now, types, missing);
     int max_machines = max_machines_per_zone();
     std::map<std::string, int> machines_by_zone;
     auto rank = [&](const std::string& zone) {
         return std::pair(zones.needed[zone] <= 0, zones.existing[zone]);
     };
-    while (lacking_slots > 0 && !open.empty()) {
+    while (missing.amount > 0 && !open.empty()) {
         auto next = std::min_element(open.begin(), open.end(), [&](const auto& a, const auto& b) {
             return rank(a.first) < rank(b.first);
         });
         const auto& [zone, type] = *next;
-        lacking_slots -= type->slots();
+        missing.amount -= missing.per_machine(*type);
         zones.existing[zone] += type->slots();
         zones.needed[zone] -= type->slots();
         if (++machines_by_zone[zone] == max_machines) {
@@ -141,6 +163,62 @@
     }
 }
 
+void CapacityPlanner::request_missing_slots(Time now, const std::vector<InstanceType>& types,
+                                            bool spot, double lacking_slots, ZoneSlots& zones,
+                                            std::vector<ScaleOut>& requests) {
+    auto slots = [](const InstanceType& type) { return type.slots(); };
+    request_missing(now, types, {spot, lacking_slots, slots}, zones, requests);
+}
+
+// Returns those of the unplaced tasks that were unplaced in the last planning round as well. When a
+// task has just got a slot of another partition, the lender may have reported the slot as taken
+// before the borrower reports that the task no longer waits.
+std::vector<RestrictedTasks>
+CapacityPlanner::confirmed_unplaced_tasks(const std::vector<RestrictedTasks>& unplaced) {
+    TasksByRestriction current;
+    std::vector<RestrictedTasks> confirmed;
+    for (RestrictedTasks group : unplaced) {
+        Restriction restriction{group.types, group.spot};
+        current[restriction] += group.tasks;
+        std::uint32_t& unplaced_before = last_unplaced_[restriction];
+        group.tasks = std::min(group.tasks, unplaced_before);
+        unplaced_before -= group.tasks;
+        if (group.tasks > 0) {
+            confirmed.push_back(std::move(group));
+        }
+    }
+    last_unplaced_ = std::move(current);
+    return confirmed;
+}
+
+// Requests machines of the types that the tasks may run on. Tasks of several groups share a machine
+// if they fit.
+void CapacityPlanner::request_for_restricted_tasks(Time now, const std::vector<InstanceType>& types,
+                                                   const std::vector<RestrictedTasks>& unplaced,
+                                                   ZoneSlots& zones,
+                                                   std::vector<ScaleOut>& requests) {
+    IdleMachines requested;
+    std::vector<RestrictedTasks> groups;
+    for (const RestrictedTasks& group : confirmed_unplaced_tasks(unplaced)) {
+        groups.push_back(group);
+        TaskPacking packing(types, requested);
+        std::uint32_t lacking = 0;
+        for (const RestrictedTasks& earlier : groups) {
+            lacking = packing.pack(earlier);
+        }
+        auto tasks = [&](const InstanceType& type) {
+            return static_cast<double>(tasks_per_machine(group, type));
+        };
+        std::size_t first_new = requests.size();
+        request_missing(now, types, {group.spot, static_cast<double>(lacking), tasks}, zones,
+                        requests);
+        for (std::size_t i = first_new; i < requests.size(); ++i) {
+            requested[{requests[i].type, requests[i].spot}].back() +=
+                static_cast<std::uint32_t>(requests[i].count);
+        }
+    }
+}
+
 void CapacityPlanner::append_requests(Time now, const InstanceType& type, const std::string& zone,
                                       bool spot, int count, std::vector<ScaleOut>& requests) {
     while (count > 0) {
@@ -206,7 +284,7 @@
 }
 
 std::vector<std::string> CapacityPlanner::plan_cordons(Time now, const MachineTable& machines,
-                                                       const ClusterDemand& demand) {
+                                                       ClusterDemand demand) {
     double boot_s = 0;
     for (const auto& [name, machine] : machines.all()) {
         boot_s = std::max(boot_s, machine.type.boot_s);
@@ -225,7 +303,7 @@
 }
 
 void CapacityPlanner::plan_cordons_of_kind(Time now, const MachineTable& machines,
-                                           const ClusterDemand& demand, bool spot, bool may_cordon,
+                                           ClusterDemand& demand, bool spot, bool may_cordon,
                                            std::vector<std::string>& changes) {
     double existing = spot ? demand.spot_slots : demand.on_demand_slots;
     double wanted = wanted_slots(demand, spot);
@@ -236,7 +314,8 @@
             continue;
         }
         double slots = machine.type.slots();
-        if (machine.cordoned && existing < wanted) {
+        if (machine.cordoned &&
+            (existing < wanted || take_for_unplaced_tasks(machine, demand.unplaced))) {
             existing += slots;
             changes.push_back(name);
         } else if (is_usable(now, machine) && !machine.has_service()) {
@@ -245,14 +324,43 @@
         }
     }
     if (may_cordon && !candidates.empty()) {
-        cordon_surplus(now, std::move(candidates), {own_slots, existing, wanted}, changes);
+        cordon_surplus(now, std::move(candidates), {own_slots, existing, wanted},
+                       demand.spare_slots, changes);
+    }
+}
+
+// Returns whether restricted tasks would lack idle slots without those of the machine.
+bool CapacityPlanner::is_needed_by_restricted_tasks(const Machine& machine,
+                                                    const SlotsOfKinds& spare) {
+    auto found = spare.find({machine.type.name, machine.spot});
+    return found != spare.end() && idle_slots(machine) > found->second + kRoundingSlots;
+}
+
+void CapacityPlanner::subtract_spare(const Machine& machine, SlotsOfKinds& spare) {
+    if (auto found = spare.find({machine.type.name, machine.spot}); found != spare.end()) {
+        found->second -= idle_slots(machine);
     }
 }
 
+// Returns whether some of the unplaced tasks may run on the machine; if so, subtracts as many as
+// fit.
+bool CapacityPlanner::take_for_unplaced_tasks(const Machine& machine,
+                                              std::vector<RestrictedTasks>& unplaced) {
+    for (RestrictedTasks& group : unplaced) {
+        std::uint32_t tasks = std::min(group.tasks, tasks_per_machine(group, machine.type));
+        if (tasks > 0 && (group.spot || !machine.spot)) {
+            group.tasks -= tasks;
+            return true;
+        }
+    }
+    return false;
+}
+
 // Cordons the emptiest machines first, and equally empty ones in the order of their names: with the
 // order of their addresses, runs would not be reproducible.
 void CapacityPlanner::cordon_surplus(Time now, std::vector<CordonCandidate> candidates,
-                                     const Surplus& surplus, std::vector<std::string>& changes) {
+                                     const Surplus& surplus, SlotsOfKinds& spare,
+                                     std::vector<std::string>& changes) {
     std::stable_sort(candidates.begin(), candidates.end(),
                      [](const auto& a, const auto& b) { return a.busy_rank < b.busy_rank; });
     // A step is half of this partition's proportion of the surplus of all partitions, so that the
@@ -267,6 +375,10 @@
         if (existing - slots < surplus.wanted_slots || (!is_first && step_slots < slots)) {
             break;
         }
+        if (is_needed_by_restricted_tasks(*candidate.machine, spare)) {
+            continue;
+        }
+        subtract_spare(*candidate.machine, spare);
         is_first = false;
         existing -= slots;
         step_slots -= slots;
@@ -305,24 +417,26 @@
 }
 
 // Returns whether the idle machine has been idle for long and its slots are not needed; if so,
-// subtracts them from `slots`, the existing ones.
-bool CapacityPlanner::is_surplus(Time now, const Machine& machine, SlotsByKind& slots) const {
+// subtracts them.
+bool CapacityPlanner::is_surplus(Time now, const Machine& machine, Releasable& releasable) const {
     double max_idle_s = policy_.idle_scale_in_boots * machine.type.boot_s;
-    if (now - machine.idle_since <= max_idle_s) {
+    if (now - machine.idle_since <= max_idle_s ||
+        is_needed_by_restricted_tasks(machine, releasable.spare)) {
         return false;
     }
-    double& existing = machine.spot ? slots.spot : slots.on_demand;
+    double& existing = machine.spot ? releasable.existing.spot : releasable.existing.on_demand;
     double wanted =
         machine.spot ? recent_demand_.spot_eligible_slots : recent_demand_.on_demand_slots;
     if (existing - machine.type.slots() < wanted - 1) {
         return false;
     }
     existing -= machine.type.slots();
+    subtract_spare(machine, releasable.spare);
     return true;
 }
 
 bool CapacityPlanner::should_release(Time now, const Machine& machine, const ClusterDemand& demand,
-                                     bool allow_silent_release, SlotsByKind& slots) const {
+                                     bool allow_silent_release, Releasable& releasable) const {
     if (machine.releasing) {
         return false;
     }
@@ -340,17 +454,17 @@
         machine.consecutive_errors >= policy_.quarantine_errors) {
         return true;
     }
-    return demand.complete && is_surplus(now, machine, slots);
+    return demand.complete && is_surplus(now, machine, releasable);
 }
 
 std::vector<std::string> CapacityPlanner::plan_scale_in(Time now, const MachineTable& machines,
                                                         const ClusterDemand& demand,
                                                         bool allow_silent_release) const {
     allow_silent_release = allow_silent_release && is_silent_release_safe(now, machines);
-    SlotsByKind slots{demand.on_demand_slots, demand.spot_slots};
+    Releasable releasable{{demand.on_demand_slots, demand.spot_slots}, demand.spare_slots};
     std::vector<std::string> names;
     for (const auto& [name, machine] : machines.all()) {
-        if (should_release(now, machine, demand, allow_silent_release, slots)) {
+        if (should_release(now, machine, demand, allow_silent_release, releasable)) {
             names.push_back(name);
         }
     }
--- a/src/core/autoscaling/capacity_planner.h
+++ b/src/core/autoscaling/capacity_planner.h
@@ -2,10 +2,12 @@
 // offers of the cloud provider to avoid for a while.
 #pragma once
 
+#include <functional>
 #include <set>
+#include <utility>
 
+#include "core/autoscaling/cluster_demand.h"
 #include "core/machines/machine_table.h"
-#include "core/machines/slot_lists.h"
 #include "core/messaging/messages.h"
 
 namespace scheduler {
@@ -13,14 +15,6 @@
 // The interval between planning rounds, in heartbeat intervals.
 inline constexpr double kPlanningIntervalHeartbeats = 1.0 / 3;
 
-// Demand and capacity of all partitions together, as far as this leader knows.
-struct ClusterDemand {
-    Demand demand;
-    double on_demand_slots = 0;
-    double spot_slots = 0;
-    bool complete = false; // every other partition has reported within the last heartbeat interval
-};
-
 // Only makes plans, which the autoscaler executes. Called only from the controller's event loop.
 class CapacityPlanner {
   public:
@@ -29,6 +23,8 @@
                     std::uint64_t term)
         : settings_(settings), policy_(policy), term_(term) {}
 
+    // Adds the machines of requests that have not been answered to the idle ones.
+    void count_requested_machines(ClusterDemand& demand) const;
     // Returns the requests to send now. A request without a response is sent again under its id.
     // `slots_by_zone`: the existing slots.
     std::vector<ScaleOut> plan_scale_out(Time now, const ClusterDemand& demand,
@@ -45,7 +41,7 @@
     // more than the demand needs, a few in each round, or cordoned ones to use again because there
     // are too few.
     std::vector<std::string> plan_cordons(Time now, const MachineTable& machines,
-                                          const ClusterDemand& demand);
+                                          ClusterDemand demand);
     // Returns whether the machine may run new tasks, now or when it is up.
     bool is_usable(Time now, const Machine& machine) const;
     // To be called when the machine has been released. The provider's list and delayed heartbeats
@@ -90,26 +86,52 @@
         double spot = 0;
     };
     using TypesByZone = std::map<std::string, const InstanceType*>;
+    struct MissingCapacity {
+        bool spot = false;
+        double amount = 0;
+        // Returns how much of it a machine of the type provides; 0: the type is of no use.
+        std::function<double(const InstanceType&)> per_machine;
+    };
+    // What may be cordoned or released.
+    struct Releasable {
+        SlotsByKind existing;
+        SlotsOfKinds spare; // see ClusterDemand::spare_slots
+    };
+    // The types that restricted tasks may run on, and whether they may run on spot machines.
+    using Restriction = std::pair<std::vector<std::string>, bool>;
+    using TasksByRestriction = std::map<Restriction, std::uint32_t>;
     bool is_silent(Time now, const Machine& machine) const;
     void append_retries(Time now, std::vector<ScaleOut>& requests);
     void add_pending(const std::vector<InstanceType>& types, SlotsByKind& slots,
                      ZoneSlots& zones) const;
-    TypesByZone cheapest_by_zone(Time now, const std::vector<InstanceType>& types, bool spot) const;
+    TypesByZone cheapest_by_zone(Time now, const std::vector<InstanceType>& types,
+                                 const MissingCapacity& missing) const;
     int max_machines_per_zone() const;
+    void request_missing(Time now, const std::vector<InstanceType>& types, MissingCapacity missing,
+                         ZoneSlots& zones, std::vector<ScaleOut>& requests);
     void request_missing_slots(Time now, const std::vector<InstanceType>& types, bool spot,
                                double lacking_slots, ZoneSlots& zones,
                                std::vector<ScaleOut>& requests);
+    std::vector<RestrictedTasks>
+    confirmed_unplaced_tasks(const std::vector<RestrictedTasks>& unplaced);
+    void request_for_restricted_tasks(Time now, const std::vector<InstanceType>& types,
+                                      const std::vector<RestrictedTasks>& unplaced,
+                                      ZoneSlots& zones, std::vector<ScaleOut>& requests);
     void update_recent_demand(Time now, const Demand& demand, double boot_s);
     double wanted_slots(const ClusterDemand& demand, bool spot) const;
-    void plan_cordons_of_kind(Time now, const MachineTable& machines, const ClusterDemand& demand,
+    void plan_cordons_of_kind(Time now, const MachineTable& machines, ClusterDemand& demand,
                               bool spot, bool may_cordon, std::vector<std::string>& changes);
     void cordon_surplus(Time now, std::vector<CordonCandidate> candidates, const Surplus& surplus,
-                        std::vector<std::string>& changes);
+                        SlotsOfKinds& spare, std::vector<std::string>& changes);
+    static bool is_needed_by_restricted_tasks(const Machine& machine, const SlotsOfKinds& spare);
+    static void subtract_spare(const Machine& machine, SlotsOfKinds& spare);
+    static bool take_for_unplaced_tasks(const Machine& machine,
+                                        std::vector<RestrictedTasks>& unplaced);
     bool is_presumed_lost(Time now, const Machine& machine) const;
     bool is_silent_release_safe(Time now, const MachineTable& machines) const;
-    bool is_surplus(Time now, const Machine& machine, SlotsByKind& slots) const;
+    bool is_surplus(Time now, const Machine& machine, Releasable& releasable) const;
     bool should_release(Time now, const Machine& machine, const ClusterDemand& demand,
-                        bool allow_silent_release, SlotsByKind& slots) const;
+                        bool allow_silent_release, Releasable& releasable) const;
     void append_requests(Time now, const InstanceType& type, const std::string& zone, bool spot,
                          int count, std::vector<ScaleOut>& requests);
 
@@ -118,6 +140,7 @@
     std::uint64_t term_;
     std::uint64_t next_request_number_ = 1;
     std::vector<PendingRequest> pending_;
+    TasksByRestriction last_unplaced_; // in the last planning round
     std::map<Offer, Time> backoff_until_;
     std::map<std::string, Time> released_; // by machine, with the time of the release
     Demand recent_demand_;                 // its peaks decay over some boot times
--- a/src/core/autoscaling/demand_tracker.cpp
+++ b/src/core/autoscaling/demand_tracker.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/machines/slot_lists.h"
 #include "core/scheduling/pending_queue.h"
 
 namespace scheduler {
@@ -44,23 +45,30 @@
     for (const auto& objective : settings_.objectives) {
         if (objective.kind == ServiceLevelObjective::Kind::wait &&
             objective.job_class == spec.job_class && objective.within_s < type.boot_s) {
-            arrivals_.push_back(
-                {now,
-                 spec.tasks * slots_needed(type, spec.cpus, spec.gpus, spec.ram_gb) * type.boot_s});
+            double task_s = spec.tasks * type.boot_s;
+            std::vector<std::string> allowed = types_.restricted_to(spec);
+            JobSpec restricted_spec = allowed.empty() ? JobSpec{} : spec;
+            arrivals_.push_back({now,
+                                 task_s * slots_needed(type, spec.cpus, spec.gpus, spec.ram_gb),
+                                 task_s, std::move(allowed), std::move(restricted_spec)});
             return;
         }
     }
 }
 
-double DemandTracker::projected_slots(Time now) const {
+void DemandTracker::add_projected(Time now, Demand& demand,
+                                  RestrictedTaskGroups& restricted) const {
+    double observed_s = std::min(kArrivalLeases * settings_.worker_lease_s,
+                                 now - leadership_.since() - settings_.worker_lease_s);
+    double per_second = kProjectionFactor / std::max(settings_.worker_lease_s, observed_s);
     double slot_s = 0;
     for (const auto& arrival : arrivals_) {
         slot_s += arrival.slot_s;
+        if (!arrival.types.empty()) {
+            restricted.add(arrival.spec, arrival.types, arrival.task_s * per_second);
+        }
     }
-    double observed_s = std::min(kArrivalLeases * settings_.worker_lease_s,
-                                 now - leadership_.since() - settings_.worker_lease_s);
-    return slot_s > 0 ? kProjectionFactor * slot_s / std::max(settings_.worker_lease_s, observed_s)
-                      : 0;
+    demand.on_demand_slots += slot_s * per_second;
 }
 
 DemandTracker::PendingTasks DemandTracker::pending_tasks(const Job& job) const {
@@ -73,13 +81,14 @@
             pending.open_zones.push_back(zone);
         }
     }
+    pending.types = types_.restricted_to(spec);
     return pending;
 }
 
 // Adds the slots that the pending tasks need in certain zones, in addition to the need of their
-// team.
-void DemandTracker::add_zone_bound(Time now, const Job& job, const PendingTasks& pending,
-                                   Demand& demand) {
+// team. Returns the number of tasks that were added regardless of the team's quota.
+double DemandTracker::add_zone_bound(Time now, const Job& job, const PendingTasks& pending,
+                                     Demand& demand) {
     const JobSpec& spec = job.spec;
     const std::vector<std::string>& zones = pending.open_zones;
     double slots = pending.slots_per_task;
@@ -90,7 +99,7 @@
     double waits_s = job.waiting_since > 0 ? now - job.waiting_since : 0;
     auto stuck_periods = static_cast<std::size_t>(waits_s / (kStuckBoots * pending.type.boot_s));
     if (!is_bound || stuck_periods == 0) {
-        return;
+        return 0;
     }
     // New machines would be up by now, so there are slots, but not where they are needed. The same
     // number of slots is requested once more, regardless of the team's quota.
@@ -106,17 +115,24 @@
     }
     (spec.spot ? demand.spot_eligible_slots : demand.on_demand_slots) +=
         factor * pending.count * slots;
+    return factor * pending.count;
 }
 
-// Adds the need of the running tasks, and that of as many pending tasks as must run at a time for
-// all to be done within the horizon. A task that is longer than the horizon needs its own slots.
-void DemandTracker::add_need(const Job& job, const PendingTasks& pending, TeamNeed& need) const {
+// Returns how many of the pending tasks must run at a time for all to be done within the horizon.
+double DemandTracker::concurrent_tasks(const Job& job, const PendingTasks& pending) const {
     const JobSpec& spec = job.spec;
     double horizon_s = policy_.scale_out_horizon_boots * pending.type.boot_s;
     double slots_per_pending = spec.kind == JobKind::service
                                    ? 1
                                    : std::min(1.0, std::max(spec.estimated_run_s, 1.0) / horizon_s);
-    double tasks = job.placed + std::ceil(pending.count * slots_per_pending);
+    return std::ceil(pending.count * slots_per_pending);
+}
+
+// Adds the need of the running tasks, and that of as many pending tasks as must run at a time for
+// all to be done within the horizon. A task that is longer than the horizon needs its own slots.
+void DemandTracker::add_need(const Job& job, const PendingTasks& pending, TeamNeed& need) const {
+    const JobSpec& spec = job.spec;
+    double tasks = job.placed + concurrent_tasks(job, pending);
     (spec.spot ? need.spot_eligible_slots : need.on_demand_slots) += tasks * pending.slots_per_task;
     need.cpus += tasks * spec.cpus;
     need.gpus += tasks * spec.gpus;
@@ -145,34 +161,51 @@
 Demand DemandTracker::demand(Time now) {
     Demand demand;
     std::map<std::string, TeamNeed> needs;
+    std::vector<RestrictedJob> restricted_jobs;
     double remaining_slot_s = 0;
     for (const auto& [id, job] : jobs_.all()) {
         if (!job->open() || types_.empty()) {
             continue;
         }
         PendingTasks pending = pending_tasks(*job);
-        add_zone_bound(now, *job, pending, demand);
+        double stuck_tasks = add_zone_bound(now, *job, pending, demand);
         add_need(*job, pending, needs[job->spec.team]);
         remaining_slot_s += PendingQueue::remaining_s(*job) * pending.slots_per_task;
+        // The tasks of an unreconciled job may be running already.
+        if (!pending.types.empty() && !job->unreconciled) {
+            restricted_jobs.push_back({job->spec, std::move(pending.types),
+                                       concurrent_tasks(*job, pending), stuck_tasks});
+        }
     }
     demand.remaining_slot_s = remaining_slot_s;
     forget_old_arrivals(now);
-    demand.on_demand_slots += projected_slots(now);
+    RestrictedTaskGroups restricted(types_);
+    add_projected(now, demand, restricted);
     for (const auto& [team, need] : needs) {
         double fraction = quota_fraction(team, need);
         demand.on_demand_slots += need.on_demand_slots * fraction;
         demand.spot_eligible_slots += need.spot_eligible_slots * fraction;
     }
+    for (const auto& job : restricted_jobs) {
+        const std::string& team = job.spec.team;
+        double fraction = quota_fraction(team, needs[team]);
+        restricted.add(job.spec, job.types, job.tasks * fraction + job.stuck_tasks);
+    }
+    demand.restricted = restricted.all();
     return demand;
 }
 
 void DemandTracker::update_capacity(Time now) {
     PartitionCapacity& capacity = current_.capacity;
-    capacity = {0, 0, cpu_headroom_, accepts_shards_};
+    capacity = {0, 0, cpu_headroom_, accepts_shards_, IdleMachines()};
     for (const auto& [name, machine] : machines_.all()) {
         ++effort_;
-        if (planner_.is_usable(now, machine)) {
-            (machine.spot ? capacity.spot_slots : capacity.on_demand_slots) += machine.type.slots();
+        if (!planner_.is_usable(now, machine)) {
+            continue;
+        }
+        (machine.spot ? capacity.spot_slots : capacity.on_demand_slots) += machine.type.slots();
+        if (std::size_t parts = idle_parts(machine); parts > 0) {
+            ++(*capacity.idle)[{machine.type.name, machine.spot}].at(parts - 1);
         }
     }
 }
@@ -192,6 +225,14 @@
     return current_;
 }
 
+void DemandTracker::add_idle(const PartitionCapacity& capacity, ClusterDemand& cluster_demand) {
+    for (const auto& [kind, machines] : capacity.idle.value_or(IdleMachines())) {
+        for (std::size_t i = 0; i < kIdleParts; ++i) {
+            cluster_demand.idle[kind].at(i) += machines.at(i);
+        }
+    }
+}
+
 ClusterDemand DemandTracker::cluster_demand(Time now) {
     ClusterDemand cluster_demand;
     const PartitionDemand& own = current(now);
@@ -199,6 +240,7 @@
     cluster_demand.complete = true;
     cluster_demand.on_demand_slots = own.capacity.on_demand_slots;
     cluster_demand.spot_slots = own.capacity.spot_slots;
+    add_idle(own.capacity, cluster_demand);
     for (const auto& [partition, peer] : peers_) {
         cluster_demand.demand.on_demand_slots += peer.demand.on_demand_slots;
         cluster_demand.demand.spot_eligible_slots += peer.demand.spot_eligible_slots;
@@ -210,11 +252,18 @@
             cluster_demand.complete && now - peer.received_at < settings_.heartbeat_interval_s;
         cluster_demand.on_demand_slots += peer.capacity.on_demand_slots;
         cluster_demand.spot_slots += peer.capacity.spot_slots;
+        cluster_demand.demand.restricted.insert(cluster_demand.demand.restricted.end(),
+                                                peer.demand.restricted.begin(),
+                                                peer.demand.restricted.end());
+        add_idle(peer.capacity, cluster_demand);
+        cluster_demand.idle_unknown =
+            cluster_demand.idle_unknown || (peer.received_at > 0 && !peer.capacity.idle);
     }
     for (const auto& [name, provisioned] : provisioned_) {
         if (const InstanceType* type = types_.find(provisioned.request.type)) {
             (provisioned.request.spot ? cluster_demand.spot_slots
                                       : cluster_demand.on_demand_slots) += type->slots();
+            ++cluster_demand.idle[{type->name, provisioned.request.spot}].back();
         }
     }
     return cluster_demand;
--- a/src/core/autoscaling/demand_tracker.h
+++ b/src/core/autoscaling/demand_tracker.h
@@ -6,6 +6,7 @@
 #include <deque>
 
 #include "core/autoscaling/capacity_planner.h"
+#include "core/autoscaling/restricted_task_groups.h"
 #include "core/jobs/job_store.h"
 #include "core/leadership/leadership.h"
 #include "core/model/instance_type_catalog.h"
@@ -82,16 +83,26 @@
         double slots_per_task = 0;
         double count = 0;
         std::vector<std::string> open_zones; // zones in which the next task may be placed
+        std::vector<std::string> types;      // see InstanceTypeCatalog::restricted_to
+    };
+    // The pending tasks of a job that may run on some instance types only.
+    struct RestrictedJob {
+        const JobSpec& spec;
+        std::vector<std::string> types;
+        double tasks = 0;       // that are to run at a time, as far as the team's quota admits
+        double stuck_tasks = 0; // to be added regardless of the quota
     };
     Demand demand(Time now);
     PendingTasks pending_tasks(const Job& job) const;
-    static void add_zone_bound(Time now, const Job& job, const PendingTasks& pending,
-                               Demand& demand);
+    double concurrent_tasks(const Job& job, const PendingTasks& pending) const;
+    static double add_zone_bound(Time now, const Job& job, const PendingTasks& pending,
+                                 Demand& demand);
     void add_need(const Job& job, const PendingTasks& pending, TeamNeed& need) const;
+    void add_projected(Time now, Demand& demand, RestrictedTaskGroups& restricted) const;
     double quota_fraction(const std::string& team, const TeamNeed& need) const;
     void forget_old_arrivals(Time now);
     void update_capacity(Time now);
-    double projected_slots(Time now) const;
+    static void add_idle(const PartitionCapacity& capacity, ClusterDemand& cluster_demand);
 
     const Leadership& leadership_;
     const ClusterSettings& settings_;
@@ -111,6 +122,10 @@
     struct Arrival {
         Time at = 0;
         double slot_s = 0; // the job's slots times the boot time of its machines
+        double task_s = 0; // its tasks times that time
+        // Where the tasks may run, if on some instance types only. `spec` is only set then.
+        std::vector<std::string> types;
+        JobSpec spec;
     };
     std::deque<Arrival> arrivals_;
     std::uint64_t effort_ = 0;
--- a/src/core/machines/slot_lists.h
+++ b/src/core/machines/slot_lists.h
@@ -12,13 +12,6 @@
 
 namespace scheduler {
 
-// The kind of machine that a slot is on.
-struct SlotKind {
-    std::string type;
-    bool spot = false;
-    auto operator<=>(const SlotKind&) const = default;
-};
-
 // Returns the number of slots that a task takes up on a machine of the type, which the resource
 // that it needs most of determines; at least 1.
 int slots_needed(const InstanceType& type, double cpus, double gpus, double ram_gb);
--- a/src/core/messaging/peer_messages.h
+++ b/src/core/messaging/peer_messages.h
@@ -10,6 +10,7 @@
 // peers.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -18,6 +19,7 @@
 
 #include "core/messaging/request_ids.h"
 #include "core/model/job.h"
+#include "core/model/machine.h"
 #include "core/model/quota.h"
 #include "core/model/shard_id.h"
 #include "core/model/task.h"
@@ -74,6 +76,22 @@
     double image_gb = 0;
 };
 
+// Pending tasks with the same requirements that may run on some instance types only.
+struct RestrictedTasks {
+    std::vector<std::string> types; // that each task may run on, in ascending order; not empty
+    bool spot = false;              // may run on spot machines
+    double cpus = 0;                // of each task
+    double gpus = 0;
+    double ram_gb = 0;
+    std::uint32_t tasks = 0; // that are to run at a time
+};
+
+// Machines of one kind by their idle part. The element at `i` counts those of which at least `i +
+// 1` parts are idle, and fewer than `i + 2`. A machine has kIdleParts parts.
+inline constexpr std::size_t kIdleParts = 8;
+using MachinesByIdleParts = std::array<std::uint32_t, kIdleParts>;
+using IdleMachines = std::map<SlotKind, MachinesByIdleParts>;
+
 // The pending and running work of a partition, in slots.
 struct Demand {
     double on_demand_slots = 0;     // for jobs that may not use spot machines
@@ -81,6 +99,8 @@
     double remaining_slot_s = 0;    // estimated run time left, in slot seconds
     // Of the pending work, slots that only one zone can give, by zone.
     std::map<std::string, double> zone_bound_slots;
+    // The pending work that may run on some instance types only. The sums above include it.
+    std::vector<RestrictedTasks> restricted;
 };
 
 // The usable machines of a partition, in slots, and the spare capacity of its leader.
@@ -89,6 +109,8 @@
     double spot_slots = 0;
     double cpu_headroom = 1;     // of the leader's processor, see sharding/shard_balancer.h
     bool accepts_shards = false; // the leader receives heartbeats and can take a shard
+    // Absent: the sender is of a version that does not report them.
+    std::optional<IdleMachines> idle;
     double total_slots() const { return on_demand_slots + spot_slots; }
 };
 
--- a/src/core/model/instance_type_catalog.cpp
+++ b/src/core/model/instance_type_catalog.cpp
@@ -6,6 +6,13 @@
 
 namespace scheduler {
 
+namespace {
+bool may_run_on(const JobSpec& spec, const InstanceType& type) {
+    return spec.allows_type(type.name) && spec.cpus <= type.cpus && spec.gpus <= type.gpus &&
+           spec.ram_gb <= type.ram_gb;
+}
+} // namespace
+
 InstanceTypeCatalog::InstanceTypeCatalog(const std::vector<InstanceType>& types) : all_(types) {
     for (const auto& type : all_) {
         by_fetch_.push_back(&type);
@@ -26,13 +33,27 @@
 
 const InstanceType& InstanceTypeCatalog::cheapest_fitting(const JobSpec& spec) const {
     auto cost = [&](const InstanceType& type) {
-        bool fits = spec.allows_type(type.name) && spec.cpus <= type.cpus &&
-                    spec.gpus <= type.gpus && spec.ram_gb <= type.ram_gb;
-        return std::pair(!fits, type.price * slots_needed(type, spec.cpus, spec.gpus, spec.ram_gb) /
-                                    type.slots());
+        return std::pair(!may_run_on(spec, type),
+                         type.price * slots_needed(type, spec.cpus, spec.gpus, spec.ram_gb) /
+                             type.slots());
     };
     return *std::min_element(all_.begin(), all_.end(),
                              [&](const auto& a, const auto& b) { return cost(a) < cost(b); });
 }
 
+std::vector<std::string> InstanceTypeCatalog::restricted_to(const JobSpec& spec) const {
+    auto accepts = [&](const InstanceType& type) { return may_run_on(spec, type); };
+    if (std::all_of(all_.begin(), all_.end(), accepts)) {
+        return {};
+    }
+    std::vector<std::string> names;
+    for (const auto& type : all_) {
+        if (accepts(type)) {
+            names.push_back(type.name);
+        }
+    }
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
 } // namespace scheduler
--- a/src/core/model/machine.h
+++ b/src/core/model/machine.h
@@ -1,6 +1,7 @@
 // Instance types and machines as the cloud describes them.
 #pragma once
 
+#include <compare>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,13 @@
     double price_of(bool spot) const { return spot ? spot_price : price; }
 };
 
+// The kind of machine that a slot is on.
+struct SlotKind {
+    std::string type;
+    bool spot = false;
+    auto operator<=>(const SlotKind&) const = default;
+};
+
 enum class InstanceState { booting, running, failed };
 
 // An entry of the cloud's list of provisioned machines. The list may be outdated by
--- a/src/wire/peer_messages.cpp
+++ b/src/wire/peer_messages.cpp
@@ -8,6 +8,34 @@
 namespace {
 constexpr std::array<std::string_view, 4> kRemoteCommandNames{"stop", "clear", "shape", "back"};
 
+void pack_restricted_tasks(Packer& packer, const std::vector<RestrictedTasks>& restricted) {
+    packer.pack_array(static_cast<std::uint32_t>(restricted.size()));
+    for (const auto& group : restricted) {
+        packer.pack_map(6);
+        pack_field(packer, "types", group.types);
+        pack_field(packer, "spot", group.spot);
+        pack_field(packer, "cpus", group.cpus);
+        pack_field(packer, "gpus", group.gpus);
+        pack_field(packer, "ram_gb", group.ram_gb);
+        pack_field(packer, "tasks", group.tasks);
+    }
+}
+
+void pack_idle_machines(Packer& packer, const IdleMachines& idle) {
+    packer.pack_array(static_cast<std::uint32_t>(idle.size()));
+    for (const auto& [kind, machines] : idle) {
+        packer.pack_map(3);
+        pack_field(packer, "type", kind.type);
+        pack_field(packer, "spot", kind.spot);
+        pack_field(packer, "parts", machines);
+    }
+}
+
+// Returns the number of fields that pack_demand_and_capacity() packs.
+std::uint32_t demand_and_capacity_fields(const Demand& demand, const PartitionCapacity& capacity) {
+    return 8 + (demand.restricted.empty() ? 0 : 1) + (capacity.idle ? 1 : 0);
+}
+
 void pack_demand_and_capacity(Packer& packer, const Demand& demand,
                               const PartitionCapacity& capacity) {
     pack_field(packer, "ordinary_slots", demand.on_demand_slots);
@@ -24,18 +52,77 @@
     pack_field(packer, "spot", capacity.spot_slots);
     pack_field(packer, "capacity", capacity.cpu_headroom);
     pack_field(packer, "takes", capacity.accepts_shards);
+    if (!demand.restricted.empty()) {
+        pack_key(packer, "restricted");
+        pack_restricted_tasks(packer, demand.restricted);
+    }
+    if (capacity.idle) {
+        pack_key(packer, "idle");
+        pack_idle_machines(packer, *capacity.idle);
+    }
+}
+
+std::uint32_t unpack_count(const msgpack::object& value, const char* name) {
+    std::uint64_t count = Fields::as_integer(value, name);
+    if (count > UINT32_MAX) {
+        throw MessageError(std::string(name) + ": out of range");
+    }
+    return static_cast<std::uint32_t>(count);
+}
+
+RestrictedTasks unpack_restricted_tasks(const msgpack::object& item) {
+    Fields fields(item);
+    RestrictedTasks group;
+    for (const auto* type : fields.list("types")) {
+        group.types.push_back(Fields::as_text(*type, "types"));
+    }
+    if (group.types.empty()) {
+        throw MessageError("types: empty");
+    }
+    group.spot = fields.flag("spot");
+    group.cpus = fields.amount("cpus");
+    group.gpus = fields.amount("gpus");
+    group.ram_gb = fields.amount("ram_gb");
+    group.tasks = unpack_count(fields.required("tasks"), "tasks");
+    return group;
+}
+
+// A controller of the previous version does not report idle machines.
+std::optional<IdleMachines> unpack_idle_machines(const Fields& fields) {
+    if (!fields.find("idle")) {
+        return std::nullopt;
+    }
+    IdleMachines idle;
+    for (const auto* item : fields.list("idle")) {
+        Fields kind_fields(*item);
+        auto parts = kind_fields.list("parts");
+        if (parts.size() != kIdleParts) {
+            throw MessageError("parts: wrong number");
+        }
+        MachinesByIdleParts& machines =
+            idle[SlotKind{kind_fields.text("type"), kind_fields.flag("spot")}];
+        for (std::size_t i = 0; i < kIdleParts; ++i) {
+            machines.at(i) = unpack_count(*parts[i], "parts");
+        }
+    }
+    return idle;
 }
-constexpr std::uint32_t kDemandAndCapacityFields = 8; // number of fields of the function above
 
 Demand unpack_demand(const Fields& fields) {
     Demand demand{fields.amount("ordinary_slots"),
                   fields.amount("any_slots"),
                   fields.amount("left_slot_s"),
+                  {},
                   {}};
     for (const auto* item : fields.list("bound")) {
         Fields zone_fields(*item);
         demand.zone_bound_slots[zone_fields.text("zone")] = zone_fields.amount("slots");
     }
+    if (fields.find("restricted")) {
+        for (const auto* item : fields.list("restricted")) {
+            demand.restricted.push_back(unpack_restricted_tasks(*item));
+        }
+    }
     return demand;
 }
 
@@ -43,7 +130,7 @@
 PartitionCapacity unpack_capacity(const Fields& fields) {
     double cpu_headroom = fields.optional_amount("capacity").value_or(1);
     return {fields.amount("ordinary"), fields.amount("spot"), std::clamp(cpu_headroom, 0.01, 1.0),
-            fields.find("takes") && fields.flag("takes")};
+            fields.find("takes") && fields.flag("takes"), unpack_idle_machines(fields)};
 }
 
 // Packs each shard as an array without names, because a response has many: home partition, number,
@@ -187,7 +274,7 @@
 } // namespace
 
 void pack_peer_sync_request(Packer& packer, const PeerSyncRequest& request) {
-    packer.pack_map(11 + kDemandAndCapacityFields);
+    packer.pack_map(11 + demand_and_capacity_fields(request.demand, request.capacity));
     pack_field(packer, "number", request.sequence);
     pack_key(packer, "given");
     packer.pack_array(static_cast<std::uint32_t>(request.transfers.size()));
@@ -263,7 +350,8 @@
 }
 
 void pack_peer_sync_response(Packer& packer, const PeerSyncResponse& response) {
-    packer.pack_map(9 + (response.shards ? 1 : 0) + kDemandAndCapacityFields);
+    packer.pack_map(9 + (response.shards ? 1 : 0) +
+                    demand_and_capacity_fields(response.demand, response.capacity));
     if (response.shards) {
         pack_key(packer, "shares");
         pack_shard_inventories(packer, *response.shards);
--- a/tests/simulated_cluster.cpp
+++ b/tests/simulated_cluster.cpp
@@ -9,8 +9,8 @@
 } // namespace
 
 SimulatedCluster::SimulatedCluster(SimulationOptions options)
-    : options_(std::move(options)), type_(machine_type(options_)), random_(options_.seed),
-      history_checker_(options_.cancel_s, team_quotas(options_), {type_}),
+    : options_(std::move(options)), random_(options_.seed),
+      history_checker_(options_.cancel_s, team_quotas(options_), machine_types(options_)),
       network_(controller_zones(options_), random_faults, random_),
       controllers_(options_, clock_, random_, network_, requests_, controller_callbacks()),
       store_(clock_, random_, network_, store_callbacks()),
@@ -103,9 +103,8 @@
 void SimulatedCluster::start_polling_open_jobs() {
     history_checker_.faults_ended(now());
     if (users_.start_polling()) {
-        clock_.every(kCapacityCheckIntervalS, [this] {
-            observe_waiting(now(), store_, workers_.all(), type_, history_checker_);
-        });
+        clock_.every(kCapacityCheckIntervalS,
+                     [this] { observe_waiting(now(), store_, workers_.all(), history_checker_); });
     }
 }
 
--- a/tests/simulated_cluster.h
+++ b/tests/simulated_cluster.h
@@ -154,6 +154,9 @@
     std::set<std::string> machines_of(const TaskId& task) const {
         return test::machines_of(workers_.all(), task);
     }
+    std::string type_of(const std::string& machine) const {
+        return workers_.get(machine).type.name;
+    }
     std::string zone_of(const std::string& machine) const { return workers_.get(machine).zone; }
     // Returns the controller that the machine sends its heartbeats to.
     int controller_of(const std::string& machine) const {
@@ -218,7 +221,6 @@
 
     // Each member is built from those before it; callbacks refer to those after it.
     const SimulationOptions options_;
-    const InstanceType type_;
     EventQueue clock_;
     RandomSource random_;
     HistoryChecker history_checker_;
--- a/tests/simulation/cloud_model.cpp
+++ b/tests/simulation/cloud_model.cpp
@@ -1,5 +1,6 @@
 #include "simulation/cloud_model.h"
 
+#include <algorithm>
 #include <cstdio>
 
 #include "simulation/cluster_setup.h"
@@ -14,6 +15,13 @@
     std::snprintf(name, sizeof name, "i-%06d", number);
     return name;
 }
+
+InstanceType type_named(const SimulationOptions& options, const std::string& name) {
+    std::vector<InstanceType> types = machine_types(options);
+    auto found = std::find_if(types.begin(), types.end(),
+                              [&](const InstanceType& type) { return type.name == name; });
+    return found == types.end() ? types.front() : *found;
+}
 } // namespace
 
 CloudModel::CloudModel(const SimulationOptions& options, const RandomFaults& random_faults,
@@ -30,7 +38,7 @@
     }
     response.status = 200;
     if (std::holds_alternative<ListInstanceTypes>(request)) {
-        response.instance_types = {machine_type(options_)};
+        response.instance_types = machine_types(options_);
     } else if (const auto* scale_out = std::get_if<ScaleOut>(&request)) {
         response.accepted_machines = provision(*scale_out);
     } else if (std::holds_alternative<ListInstances>(request)) {
@@ -56,15 +64,17 @@
 std::string CloudModel::add_machine(const ScaleOut& scale_out) {
     Worker worker;
     worker.name = machine_name(next_machine_++);
+    worker.type = type_named(options_, scale_out.type);
     worker.zone = scale_out.zone;
     worker.spot = scale_out.spot;
     worker.clock_rate = 1 + options_.drift * (next_machine_ % 2 ? 1 : -1);
     const std::string name = worker.name;
+    const double usual_boot_s = worker.type.boot_s;
     workers_.add(std::move(worker));
     heartbeats_.connect(name, next_machine_ % options_.nodes);
     bool quick = random_.fault(random_faults_.quick_boots);
     bool cut_outbound = random_.fault(random_faults_.outbound_cut_boots);
-    double boot_s = quick ? random_.uniform(0, kQuickBootS) : options_.boot_s;
+    double boot_s = quick ? random_.uniform(0, kQuickBootS) : usual_boot_s;
     clock_.after(boot_s, [this, name, cut_outbound] { workers_.boot(name, cut_outbound); });
     return name;
 }
@@ -73,7 +83,7 @@
     std::vector<Instance> all;
     for (const auto& [name, worker] : workers_.all()) {
         InstanceState stage = worker.up ? InstanceState::running : InstanceState::booting;
-        all.push_back({name, name + ":1", kMachineTypeName, worker.zone, worker.spot, stage, 0});
+        all.push_back({name, name + ":1", worker.type.name, worker.zone, worker.spot, stage, 0});
     }
     return all;
 }
--- a/tests/simulation/cluster_setup.cpp
+++ b/tests/simulation/cluster_setup.cpp
@@ -25,6 +25,12 @@
             zone_names(options)};
 }
 
+std::vector<InstanceType> machine_types(const SimulationOptions& options) {
+    std::vector<InstanceType> types{machine_type(options)};
+    types.insert(types.end(), options.further_types.begin(), options.further_types.end());
+    return types;
+}
+
 std::vector<TeamQuota> team_quotas(const SimulationOptions& options) {
     const double factor = options.limits;
     if (options.gpus) {
--- a/tests/simulation/cluster_setup.h
+++ b/tests/simulation/cluster_setup.h
@@ -9,7 +9,7 @@
 
 namespace scheduler::test {
 
-// The only machine type that the cloud offers.
+// The default machine type of the cloud.
 inline constexpr char kMachineTypeName[] = "m8";
 // Seconds that a task of a gang waits for the others to start.
 inline constexpr double kGangWaitS = 30;
@@ -25,6 +25,8 @@
 // Returns the zone of each controller, by controller number.
 std::vector<std::string> controller_zones(const SimulationOptions& options);
 InstanceType machine_type(const SimulationOptions& options);
+// Returns all types that the cloud offers: the default one and those of the options.
+std::vector<InstanceType> machine_types(const SimulationOptions& options);
 std::vector<TeamQuota> team_quotas(const SimulationOptions& options);
 ClusterSettings controller_settings(const SimulationOptions& options, int controller);
 
--- a/tests/simulation/options.h
+++ b/tests/simulation/options.h
@@ -41,6 +41,8 @@
     double state_write_rps = 20;
     // One zone. Otherwise there are two, with the controllers assigned alternately.
     bool one_zone = false;
+    // Instance types that the cloud offers besides the default one.
+    std::vector<InstanceType> further_types;
     // Machines have 4 GPUs, and quotas of teams are in GPUs only.
     bool gpus = false;
     // Direct commands that a controller sends concurrently. Five times as many can be in progress,
--- a/tests/simulation/queries.cpp
+++ b/tests/simulation/queries.cpp
@@ -34,9 +34,10 @@
 
 // Returns the free capacity of the machine, and subtracts its tasks from the waiting ones of
 // `jobs`.
-HistoryChecker::FreeCapacity free_capacity_of(const Worker& worker, const InstanceType& type,
+HistoryChecker::FreeCapacity free_capacity_of(const Worker& worker,
                                               const HistoryChecker& history_checker, OpenJobs& jobs,
                                               UsedByTeam& used) {
+    const InstanceType& type = worker.type;
     HistoryChecker::FreeCapacity capacity{worker.zone, worker.spot, &type,
                                           type.cpus,   type.gpus,   type.ram_gb};
     for (const auto& [task, state] : worker.tasks) {
@@ -130,13 +131,13 @@
 }
 
 void observe_waiting(Time now, const KvStoreModel& store, const Workers& workers,
-                     const InstanceType& type, HistoryChecker& history_checker) {
+                     HistoryChecker& history_checker) {
     OpenJobs jobs = open_jobs(store, history_checker);
     UsedByTeam used;
     std::vector<HistoryChecker::FreeCapacity> free_capacity;
     for (const auto& [name, worker] : workers) {
         HistoryChecker::FreeCapacity capacity =
-            free_capacity_of(worker, type, history_checker, jobs, used);
+            free_capacity_of(worker, history_checker, jobs, used);
         if (usable(worker, now)) {
             free_capacity.push_back(capacity);
         }
--- a/tests/simulation/queries.h
+++ b/tests/simulation/queries.h
@@ -29,6 +29,6 @@
 
 // Reports the waiting jobs and the free capacity to the history checker.
 void observe_waiting(Time now, const KvStoreModel& store, const Workers& workers,
-                     const InstanceType& type, HistoryChecker& history_checker);
+                     HistoryChecker& history_checker);
 
 } // namespace scheduler::test
--- a/tests/simulation/worker.h
+++ b/tests/simulation/worker.h
@@ -25,6 +25,7 @@
 // A worker's machine, its faults and its tasks.
 struct Worker {
     std::string name;
+    InstanceType type;
     std::string zone;
     bool spot = false;
     // It has booted.
--- a/tests/simulation/worker_model.cpp
+++ b/tests/simulation/worker_model.cpp
@@ -74,7 +74,7 @@
     Heartbeat heartbeat;
     heartbeat.machine = worker.name;
     heartbeat.endpoint = worker.name + ":1";
-    heartbeat.type = kMachineTypeName;
+    heartbeat.type = worker.type.name;
     heartbeat.zone = worker.zone;
     heartbeat.spot = worker.spot;
     heartbeat.agent_epoch = worker.agent_epoch;
--- a/tests/wire_format_peer_test.cpp
+++ b/tests/wire_format_peer_test.cpp
@@ -166,6 +166,35 @@
     return request;
 }
 
+std::vector<RestrictedTasks> restricted_tasks() {
+    return {{{"c16", "g8"}, true, 1.5, 2.5, 3.5, 70000}, {{"g8"}, false, 8.5, 0, 64.5, 1}};
+}
+
+IdleMachines idle_machines() {
+    return {{{"c16", false}, {1, 2, 3, 4, 5, 6, 7, 70000}}, {{"g8", true}, {0, 0, 0, 9}}};
+}
+
+PeerSyncRequest sync_request_with_restricted_tasks() {
+    PeerSyncRequest request;
+    request.demand.restricted = restricted_tasks();
+    request.capacity.idle = idle_machines();
+    return request;
+}
+
+PeerSyncResponse sync_response_with_restricted_tasks() {
+    PeerSyncResponse response;
+    response.demand.restricted = restricted_tasks();
+    response.capacity.idle = idle_machines();
+    return response;
+}
+
+// A partition without machines reports that none is idle, which differs from no report.
+PeerSyncResponse sync_response_without_machines() {
+    PeerSyncResponse response;
+    response.capacity.idle.emplace();
+    return response;
+}
+
 RemoteTaskStatus full_remote_task() {
     RemoteTaskStatus remote_task;
     remote_task.status.task = {"req-000412", 69999};
@@ -380,7 +409,14 @@
         foreign_request_encoding(
             "exchange/call_capacity_too_low", sync_request_body(sync_request_out_of_range(0)),
             PeerSyncCall{kPeer, sync_request_in_range(0.01)}, decode_sync_request),
+        request_encoding("exchange/call_restricted",
+                         PeerSyncCall{kPeer, sync_request_with_restricted_tasks()},
+                         decode_sync_request),
         response_encoding("exchange/reply_minimal", PeerSyncCall{}, PeerSyncResponse{}),
+        response_encoding("exchange/reply_restricted", PeerSyncCall{},
+                          sync_response_with_restricted_tasks()),
+        response_encoding("exchange/reply_without_machines", PeerSyncCall{},
+                          sync_response_without_machines()),
         response_encoding("exchange/reply_clean_and_full", PeerSyncCall{},
                           sync_response_without_stale_grants()),
         response_encoding("exchange/reply_full", PeerSyncCall{}, full_sync_response()),
@@ -450,6 +486,42 @@
     EXPECT_EQ(wire::decode_response(1, CancellationCall{}, 503, body).status, 503);
 }
 
+// Restricted tasks without types, or a report of idle machines in more or fewer parts, cannot be
+// used: the message is refused as a whole.
+TEST(WireFormat, MalformedRestrictedTasksAndIdleMachinesAreRefused) {
+    auto minimal_with = [](const PackedField& field) {
+        std::string body = sync_request_body(PeerSyncRequest{});
+        const std::string map_of_twenty("\xde\x00\x14", 3);
+        EXPECT_EQ(body.substr(0, 3), std::string("\xde\x00\x13", 3));
+        return map_of_twenty + body.substr(3) + packed(field.name) + field.value;
+    };
+    auto restricted = [&](const std::string& types, const std::string& tasks) {
+        return minimal_with({"restricted", packed_list({packed_map({{"types", types},
+                                                                    {"spot", packed(true)},
+                                                                    {"cpus", packed(1.0)},
+                                                                    {"gpus", packed(0.0)},
+                                                                    {"ram_gb", packed(2.0)},
+                                                                    {"tasks", tasks}})})});
+    };
+    auto idle = [&](const std::vector<std::string>& parts) {
+        return minimal_with({"idle", packed_list({packed_map({{"type", packed("g8")},
+                                                              {"spot", packed(false)},
+                                                              {"parts", packed_list(parts)}})})});
+    };
+    const std::vector<std::string> eight_parts(kIdleParts, packed(1));
+    const std::vector<std::string> seven_parts(kIdleParts - 1, packed(1));
+    EXPECT_EQ(wire::parse_peer_sync_request(restricted(packed_list({packed("g8")}), packed(3)))
+                  .demand.restricted.size(),
+              1u);
+    EXPECT_THROW(wire::parse_peer_sync_request(restricted(packed_list({}), packed(3))),
+                 wire::MessageError);
+    EXPECT_THROW(
+        wire::parse_peer_sync_request(restricted(packed_list({packed("g8")}), packed(1ULL << 40))),
+        wire::MessageError);
+    EXPECT_EQ(wire::parse_peer_sync_request(idle(eight_parts)).capacity.idle->size(), 1u);
+    EXPECT_THROW(wire::parse_peer_sync_request(idle(seven_parts)), wire::MessageError);
+}
+
 // A peer's error response carries an error text, which is not decoded.
 TEST(WireFormat, TheBodyOfAPeersErrorResponseIsIgnored) {
     std::string body = wire::encode_response(TextBody{"a later owner has called"});
