--- a/src/core/autoscaling/autoscaler.cpp
+++ b/src/core/autoscaling/autoscaler.cpp
@@ -22,7 +22,7 @@
     demand_.expire_provisioned(now);
     ClusterDemand cluster_demand = demand_.cluster_demand(now);
     planner_.count_requested_machines(cluster_demand);
-    place_restricted_tasks(types_.all(), cluster_demand);
+    place_task_groups(types_.all(), cluster_demand);
     // Before all peers have reported their capacity, existing machines would be provisioned again.
     // Peers that have not reported after one worker lease time are no longer waited for.
     if (is_provisioner() &&
--- a/src/core/autoscaling/capacity_planner.cpp
+++ b/src/core/autoscaling/capacity_planner.cpp
@@ -62,7 +62,7 @@
 void CapacityPlanner::count_requested_machines(ClusterDemand& demand) const {
     for (const auto& pending : pending_) {
         const ScaleOut& request = pending.request;
-        demand.idle[{request.type, request.spot}].back() +=
+        demand.idle[{{request.type, request.spot}, request.zone}].back() +=
             static_cast<std::uint32_t>(request.count);
     }
 }
@@ -79,7 +79,7 @@
     ZoneSlots zones{std::move(slots_by_zone), demand.zone_bound_slots};
     SlotsByKind slots{cluster_demand.on_demand_slots, cluster_demand.spot_slots};
     add_pending(types, slots, zones);
-    request_for_restricted_tasks(now, types, cluster_demand.unplaced, zones, requests);
+    request_for_unplaced_tasks(now, types, cluster_demand.unplaced, zones, requests);
     request_missing_slots(now, types, false, demand.on_demand_slots - slots.on_demand, zones,
                           requests);
     double spare = std::max(0.0, slots.on_demand - demand.on_demand_slots);
@@ -108,6 +108,9 @@
     TypesByZone cheapest;
     for (const auto* type : by_price) {
         for (const auto& zone : type->zones) {
+            if (!missing.allows_zone(zone)) {
+                continue;
+            }
             auto backoff = backoff_until_.find({SlotKind{type->name, spot}, zone});
             if (backoff == backoff_until_.end() || now >= backoff->second) {
                 cheapest.emplace(zone, type);
@@ -167,18 +170,19 @@
                                             bool spot, double lacking_slots, ZoneSlots& zones,
                                             std::vector<ScaleOut>& requests) {
     auto slots = [](const InstanceType& type) { return type.slots(); };
-    request_missing(now, types, {spot, lacking_slots, slots}, zones, requests);
+    auto any_zone = [](const std::string&) { return true; };
+    request_missing(now, types, {spot, lacking_slots, slots, any_zone}, zones, requests);
 }
 
 // Returns those of the unplaced tasks that were unplaced in the last planning round as well. When a
 // task has just got a slot of another partition, the lender may have reported the slot as taken
 // before the borrower reports that the task no longer waits.
-std::vector<RestrictedTasks>
-CapacityPlanner::confirmed_unplaced_tasks(const std::vector<RestrictedTasks>& unplaced) {
+std::vector<TaskGroup>
+CapacityPlanner::confirmed_unplaced_tasks(const std::vector<TaskGroup>& unplaced) {
     TasksByRestriction current;
-    std::vector<RestrictedTasks> confirmed;
-    for (RestrictedTasks group : unplaced) {
-        Restriction restriction{group.types, group.spot};
+    std::vector<TaskGroup> confirmed;
+    for (TaskGroup group : unplaced) {
+        Restriction restriction{group.types, group.zones, group.spot};
         current[restriction] += group.tasks;
         std::uint32_t& unplaced_before = last_unplaced_[restriction];
         group.tasks = std::min(group.tasks, unplaced_before);
@@ -193,27 +197,28 @@
 
 // Requests machines of the types that the tasks may run on. Tasks of several groups share a machine
 // if they fit.
-void CapacityPlanner::request_for_restricted_tasks(Time now, const std::vector<InstanceType>& types,
-                                                   const std::vector<RestrictedTasks>& unplaced,
-                                                   ZoneSlots& zones,
-                                                   std::vector<ScaleOut>& requests) {
+void CapacityPlanner::request_for_unplaced_tasks(Time now, const std::vector<InstanceType>& types,
+                                                 const std::vector<TaskGroup>& unplaced,
+                                                 ZoneSlots& zones,
+                                                 std::vector<ScaleOut>& requests) {
     IdleMachines requested;
-    std::vector<RestrictedTasks> groups;
-    for (const RestrictedTasks& group : confirmed_unplaced_tasks(unplaced)) {
+    std::vector<TaskGroup> groups;
+    for (const TaskGroup& group : confirmed_unplaced_tasks(unplaced)) {
         groups.push_back(group);
         TaskPacking packing(types, requested);
         std::uint32_t lacking = 0;
-        for (const RestrictedTasks& earlier : groups) {
+        for (const TaskGroup& earlier : groups) {
             lacking = packing.pack(earlier);
         }
         auto tasks = [&](const InstanceType& type) {
             return static_cast<double>(tasks_per_machine(group, type));
         };
+        auto in_zone = [&](const std::string& zone) { return allows_zone(group, zone); };
         std::size_t first_new = requests.size();
-        request_missing(now, types, {group.spot, static_cast<double>(lacking), tasks}, zones,
-                        requests);
+        request_missing(now, types, {group.spot, static_cast<double>(lacking), tasks, in_zone},
+                        zones, requests);
         for (std::size_t i = first_new; i < requests.size(); ++i) {
-            requested[{requests[i].type, requests[i].spot}].back() +=
+            requested[{{requests[i].type, requests[i].spot}, requests[i].zone}].back() +=
                 static_cast<std::uint32_t>(requests[i].count);
         }
     }
@@ -329,15 +334,14 @@
     }
 }
 
-// Returns whether restricted tasks would lack idle slots without those of the machine.
-bool CapacityPlanner::is_needed_by_restricted_tasks(const Machine& machine,
-                                                    const SlotsOfKinds& spare) {
-    auto found = spare.find({machine.type.name, machine.spot});
+// Returns whether tasks of groups would lack idle slots without those of the machine.
+bool CapacityPlanner::is_needed_by_task_groups(const Machine& machine, const SlotsOfPools& spare) {
+    auto found = spare.find(pool_of(machine));
     return found != spare.end() && idle_slots(machine) > found->second + kRoundingSlots;
 }
 
-void CapacityPlanner::subtract_spare(const Machine& machine, SlotsOfKinds& spare) {
-    if (auto found = spare.find({machine.type.name, machine.spot}); found != spare.end()) {
+void CapacityPlanner::subtract_spare(const Machine& machine, SlotsOfPools& spare) {
+    if (auto found = spare.find(pool_of(machine)); found != spare.end()) {
         found->second -= idle_slots(machine);
     }
 }
@@ -345,10 +349,10 @@
 // Returns whether some of the unplaced tasks may run on the machine; if so, subtracts as many as
 // fit.
 bool CapacityPlanner::take_for_unplaced_tasks(const Machine& machine,
-                                              std::vector<RestrictedTasks>& unplaced) {
-    for (RestrictedTasks& group : unplaced) {
+                                              std::vector<TaskGroup>& unplaced) {
+    for (TaskGroup& group : unplaced) {
         std::uint32_t tasks = std::min(group.tasks, tasks_per_machine(group, machine.type));
-        if (tasks > 0 && (group.spot || !machine.spot)) {
+        if (tasks > 0 && (group.spot || !machine.spot) && allows_zone(group, machine.zone)) {
             group.tasks -= tasks;
             return true;
         }
@@ -359,7 +363,7 @@
 // Cordons the emptiest machines first, and equally empty ones in the order of their names: with the
 // order of their addresses, runs would not be reproducible.
 void CapacityPlanner::cordon_surplus(Time now, std::vector<CordonCandidate> candidates,
-                                     const Surplus& surplus, SlotsOfKinds& spare,
+                                     const Surplus& surplus, SlotsOfPools& spare,
                                      std::vector<std::string>& changes) {
     std::stable_sort(candidates.begin(), candidates.end(),
                      [](const auto& a, const auto& b) { return a.busy_rank < b.busy_rank; });
@@ -375,7 +379,7 @@
         if (existing - slots < surplus.wanted_slots || (!is_first && step_slots < slots)) {
             break;
         }
-        if (is_needed_by_restricted_tasks(*candidate.machine, spare)) {
+        if (is_needed_by_task_groups(*candidate.machine, spare)) {
             continue;
         }
         subtract_spare(*candidate.machine, spare);
@@ -421,7 +425,7 @@
 bool CapacityPlanner::is_surplus(Time now, const Machine& machine, Releasable& releasable) const {
     double max_idle_s = policy_.idle_scale_in_boots * machine.type.boot_s;
     if (now - machine.idle_since <= max_idle_s ||
-        is_needed_by_restricted_tasks(machine, releasable.spare)) {
+        is_needed_by_task_groups(machine, releasable.spare)) {
         return false;
     }
     double& existing = machine.spot ? releasable.existing.spot : releasable.existing.on_demand;
--- a/src/core/autoscaling/capacity_planner.h
+++ b/src/core/autoscaling/capacity_planner.h
@@ -4,7 +4,7 @@
 
 #include <functional>
 #include <set>
-#include <utility>
+#include <tuple>
 
 #include "core/autoscaling/cluster_demand.h"
 #include "core/machines/machine_table.h"
@@ -60,12 +60,6 @@
         Time next = 0; // no retry before this
         bool in_flight = false;
     };
-    // Machines of one kind in one zone, which the provider may or may not have available.
-    struct Offer {
-        SlotKind kind;
-        std::string zone;
-        auto operator<=>(const Offer&) const = default;
-    };
     // Slots by zone: those that exist or are requested, and those that zone-bound work still needs.
     struct ZoneSlots {
         std::map<std::string, double> existing;
@@ -91,14 +85,15 @@
         double amount = 0;
         // Returns how much of it a machine of the type provides; 0: the type is of no use.
         std::function<double(const InstanceType&)> per_machine;
+        std::function<bool(const std::string&)> allows_zone;
     };
     // What may be cordoned or released.
     struct Releasable {
         SlotsByKind existing;
-        SlotsOfKinds spare; // see ClusterDemand::spare_slots
+        SlotsOfPools spare; // see ClusterDemand::spare_slots
     };
-    // The types that restricted tasks may run on, and whether they may run on spot machines.
-    using Restriction = std::pair<std::vector<std::string>, bool>;
+    // The types and zones that tasks may run on, and whether they may run on spot machines.
+    using Restriction = std::tuple<std::vector<std::string>, std::vector<std::string>, bool>;
     using TasksByRestriction = std::map<Restriction, std::uint32_t>;
     bool is_silent(Time now, const Machine& machine) const;
     void append_retries(Time now, std::vector<ScaleOut>& requests);
@@ -112,21 +107,19 @@
     void request_missing_slots(Time now, const std::vector<InstanceType>& types, bool spot,
                                double lacking_slots, ZoneSlots& zones,
                                std::vector<ScaleOut>& requests);
-    std::vector<RestrictedTasks>
-    confirmed_unplaced_tasks(const std::vector<RestrictedTasks>& unplaced);
-    void request_for_restricted_tasks(Time now, const std::vector<InstanceType>& types,
-                                      const std::vector<RestrictedTasks>& unplaced,
-                                      ZoneSlots& zones, std::vector<ScaleOut>& requests);
+    std::vector<TaskGroup> confirmed_unplaced_tasks(const std::vector<TaskGroup>& unplaced);
+    void request_for_unplaced_tasks(Time now, const std::vector<InstanceType>& types,
+                                    const std::vector<TaskGroup>& unplaced, ZoneSlots& zones,
+                                    std::vector<ScaleOut>& requests);
     void update_recent_demand(Time now, const Demand& demand, double boot_s);
     double wanted_slots(const ClusterDemand& demand, bool spot) const;
     void plan_cordons_of_kind(Time now, const MachineTable& machines, ClusterDemand& demand,
                               bool spot, bool may_cordon, std::vector<std::string>& changes);
     void cordon_surplus(Time now, std::vector<CordonCandidate> candidates, const Surplus& surplus,
-                        SlotsOfKinds& spare, std::vector<std::string>& changes);
-    static bool is_needed_by_restricted_tasks(const Machine& machine, const SlotsOfKinds& spare);
-    static void subtract_spare(const Machine& machine, SlotsOfKinds& spare);
-    static bool take_for_unplaced_tasks(const Machine& machine,
-                                        std::vector<RestrictedTasks>& unplaced);
+                        SlotsOfPools& spare, std::vector<std::string>& changes);
+    static bool is_needed_by_task_groups(const Machine& machine, const SlotsOfPools& spare);
+    static void subtract_spare(const Machine& machine, SlotsOfPools& spare);
+    static bool take_for_unplaced_tasks(const Machine& machine, std::vector<TaskGroup>& unplaced);
     bool is_presumed_lost(Time now, const Machine& machine) const;
     bool is_silent_release_safe(Time now, const MachineTable& machines) const;
     bool is_surplus(Time now, const Machine& machine, Releasable& releasable) const;
@@ -141,7 +134,8 @@
     std::uint64_t next_request_number_ = 1;
     std::vector<PendingRequest> pending_;
     TasksByRestriction last_unplaced_; // in the last planning round
-    std::map<Offer, Time> backoff_until_;
+    // By offer: the machines of a pool, which the provider may or may not have available.
+    std::map<MachinePool, Time> backoff_until_;
     std::map<std::string, Time> released_; // by machine, with the time of the release
     Demand recent_demand_;                 // its peaks decay over some boot times
     Time recent_demand_at_ = 0;
--- a/src/core/autoscaling/cluster_demand.cpp
+++ b/src/core/autoscaling/cluster_demand.cpp
@@ -14,30 +14,19 @@
 
 // Orders the groups by how hard they are to place, the hardest first: those that may run on fewer
 // kinds of machines, and of these the ones with larger tasks.
-void sort_by_difficulty(std::vector<RestrictedTasks>& groups) {
-    auto rank = [](const RestrictedTasks& group) {
-        return std::tuple(group.spot, group.types.size(), -group.gpus, -group.cpus, -group.ram_gb);
+void sort_by_difficulty(std::vector<TaskGroup>& groups) {
+    auto rank = [](const TaskGroup& group) {
+        return std::tuple(group.spot, group.zones.empty(), group.zones.size(), group.types.size(),
+                          -group.gpus, -group.cpus, -group.ram_gb);
     };
     std::stable_sort(groups.begin(), groups.end(),
                      [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
 }
+} // namespace
 
-// Returns the slots that one of the tasks takes up on the type where it costs least; 0 if it may
-// run on none of the types.
-int slots_on_cheapest(const RestrictedTasks& tasks, const std::vector<InstanceType>& types) {
-    int slots = 0;
-    double lowest_price = 0;
-    for (const auto& type : types) {
-        int needed = slots_per_task(tasks, type);
-        double price = type.price * needed / type.slots();
-        if (needed > 0 && (slots == 0 || price < lowest_price)) {
-            slots = needed;
-            lowest_price = price;
-        }
-    }
-    return slots;
+MachinePool pool_of(const Machine& machine) {
+    return {{machine.type.name, machine.spot}, machine.zone};
 }
-} // namespace
 
 std::size_t idle_parts(const Machine& machine) {
     const InstanceType& type = machine.type;
@@ -53,26 +42,27 @@
     return machine.type.slots() * static_cast<double>(idle_parts(machine)) / kIdleParts;
 }
 
-void place_restricted_tasks(const std::vector<InstanceType>& types, ClusterDemand& demand) {
-    if (demand.idle_unknown || demand.demand.restricted.empty()) {
+void place_task_groups(const std::vector<InstanceType>& types, ClusterDemand& demand) {
+    if (demand.idle_unknown || demand.demand.groups.empty()) {
         return;
     }
-    std::vector<RestrictedTasks> groups = demand.demand.restricted;
+    std::vector<TaskGroup> groups = demand.demand.groups;
     sort_by_difficulty(groups);
     TaskPacking packing(types, demand.idle);
-    for (RestrictedTasks& group : groups) {
-        int slots = slots_on_cheapest(group, types);
-        group.tasks = packing.pack(group);
-        if (slots == 0 || group.tasks == 0) {
+    for (TaskGroup& group : groups) {
+        std::uint32_t left = packing.pack(group);
+        if (left == 0) {
             continue;
         }
+        group.slots *= static_cast<double>(left) / group.tasks;
+        group.tasks = left;
         double& sum =
             group.spot ? demand.demand.spot_eligible_slots : demand.demand.on_demand_slots;
-        sum = std::max(0.0, sum - static_cast<double>(group.tasks) * slots);
+        sum = std::max(0.0, sum - group.slots);
         demand.unplaced.push_back(group);
     }
-    for (const auto& [kind, slots] : packing.packed_slots()) {
-        demand.spare_slots[kind] = packing.idle_slots(kind);
+    for (const auto& pool : packing.used_pools()) {
+        demand.spare_slots[pool] = packing.idle_slots(pool);
     }
 }
 
--- a/src/core/autoscaling/cluster_demand.h
+++ b/src/core/autoscaling/cluster_demand.h
@@ -9,8 +9,7 @@
 
 namespace scheduler {
 
-// Slots by kind of machine.
-using SlotsOfKinds = std::map<SlotKind, double>;
+using SlotsOfPools = std::map<MachinePool, double>;
 
 // As far as this leader knows.
 struct ClusterDemand {
@@ -23,21 +22,22 @@
     // which tasks fit on them.
     bool idle_unknown = false;
 
-    // The fields below are set by place_restricted_tasks().
-    // The restricted tasks that fit on no idle machine. The sums of `demand` do not include them,
+    // The fields below are set by place_task_groups().
+    // The tasks of groups that fit on no idle machine. The sums of `demand` do not include them,
     // since none of the existing slots are for them.
-    std::vector<RestrictedTasks> unplaced;
-    // The idle slots that restricted tasks leave, of the kinds of machines that they need.
-    SlotsOfKinds spare_slots;
+    std::vector<TaskGroup> unplaced;
+    // The idle slots that the tasks of groups leave, of the pools that they need.
+    SlotsOfPools spare_slots;
 };
 
+MachinePool pool_of(const Machine& machine);
 // Returns the number of parts, out of kIdleParts, that are idle in each of the machine's resources.
 std::size_t idle_parts(const Machine& machine);
 // Returns the slots of these parts.
 double idle_slots(const Machine& machine);
 
-// Determines which of the pending tasks that may run on some instance types only fit on idle
-// machines. Does nothing if the idle machines are not known.
-void place_restricted_tasks(const std::vector<InstanceType>& types, ClusterDemand& demand);
+// Determines which of the tasks of groups fit on idle machines. Does nothing if the idle machines
+// are not known.
+void place_task_groups(const std::vector<InstanceType>& types, ClusterDemand& demand);
 
 } // namespace scheduler
--- a/src/core/autoscaling/demand_tracker.cpp
+++ b/src/core/autoscaling/demand_tracker.cpp
@@ -16,6 +16,8 @@
 constexpr double kArrivalLeases = 3;
 // The work that arrived per boot time is multiplied by this to project that of the next.
 constexpr double kProjectionFactor = 1.5;
+// Tasks that a group has at least for each of its jobs. Rounded up, the group has one at least.
+constexpr double kMinTasks = 1e-3;
 // The capacity is updated at most this many times in a heartbeat interval.
 constexpr double kCapacityUpdatesPerHeartbeat = 6;
 } // namespace
@@ -46,26 +48,27 @@
         if (objective.kind == ServiceLevelObjective::Kind::wait &&
             objective.job_class == spec.job_class && objective.within_s < type.boot_s) {
             double task_s = spec.tasks * type.boot_s;
-            std::vector<std::string> allowed = types_.restricted_to(spec);
-            JobSpec restricted_spec = allowed.empty() ? JobSpec{} : spec;
-            arrivals_.push_back({now,
-                                 task_s * slots_needed(type, spec.cpus, spec.gpus, spec.ram_gb),
-                                 task_s, std::move(allowed), std::move(restricted_spec)});
+            double slot_s = task_s * slots_needed(type, spec.cpus, spec.gpus, spec.ram_gb);
+            arrivals_.push_back({now, slot_s, task_s, std::nullopt, {}});
+            if (!types_.all_fit(spec)) {
+                arrivals_.back().places = TaskGroups::Places{types_.fitting(spec), {}};
+                arrivals_.back().spec = spec;
+            }
             return;
         }
     }
 }
 
-void DemandTracker::add_projected(Time now, Demand& demand,
-                                  RestrictedTaskGroups& restricted) const {
+void DemandTracker::add_projected(Time now, Demand& demand, TaskGroups& groups) const {
     double observed_s = std::min(kArrivalLeases * settings_.worker_lease_s,
                                  now - leadership_.since() - settings_.worker_lease_s);
     double per_second = kProjectionFactor / std::max(settings_.worker_lease_s, observed_s);
     double slot_s = 0;
     for (const auto& arrival : arrivals_) {
         slot_s += arrival.slot_s;
-        if (!arrival.types.empty()) {
-            restricted.add(arrival.spec, arrival.types, arrival.task_s * per_second);
+        if (arrival.places) {
+            groups.add(arrival.spec, *arrival.places, arrival.task_s * per_second,
+                       arrival.slot_s * per_second);
         }
     }
     demand.on_demand_slots += slot_s * per_second;
@@ -81,7 +84,6 @@
             pending.open_zones.push_back(zone);
         }
     }
-    pending.types = types_.restricted_to(spec);
     return pending;
 }
 
@@ -96,9 +98,8 @@
         demand.zone_bound_slots[zones.front()] += pending.count * slots;
     }
     bool is_bound = spec.kind == JobKind::gang || spec.one_zone || spec.spread || spec.zone;
-    double waits_s = job.waiting_since > 0 ? now - job.waiting_since : 0;
-    auto stuck_periods = static_cast<std::size_t>(waits_s / (kStuckBoots * pending.type.boot_s));
-    if (!is_bound || stuck_periods == 0) {
+    std::size_t stuck = stuck_periods(now, job, pending);
+    if (!is_bound || stuck == 0) {
         return 0;
     }
     // New machines would be up by now, so there are slots, but not where they are needed. The same
@@ -110,8 +111,8 @@
     // would be twice the slots in every zone. Otherwise a gang can wait for ever: one of 19 tasks
     // of 3 CPUs did so beside 15 empty machines of 8 CPUs, six in one zone and nine in another.
     if (spec.one_zone && zones.size() > 1) {
-        factor = static_cast<double>(std::min(stuck_periods, 2 * zones.size()));
-        demand.zone_bound_slots[zones[stuck_periods % zones.size()]] += 2 * pending.count * slots;
+        factor = static_cast<double>(std::min(stuck, 2 * zones.size()));
+        demand.zone_bound_slots[zones[stuck % zones.size()]] += 2 * pending.count * slots;
     }
     (spec.spot ? demand.spot_eligible_slots : demand.on_demand_slots) +=
         factor * pending.count * slots;
@@ -136,6 +137,8 @@
     (spec.spot ? need.spot_eligible_slots : need.on_demand_slots) += tasks * pending.slots_per_task;
     need.cpus += tasks * spec.cpus;
     need.gpus += tasks * spec.gpus;
+    need.placed_cpus += job.placed * spec.cpus;
+    need.placed_gpus += job.placed * spec.gpus;
 }
 
 // Returns the fraction of the need that the team's quota admits.
@@ -151,6 +154,59 @@
     return fraction;
 }
 
+// Returns the fraction of the pending tasks' need that the team's quota admits beside its placed
+// tasks.
+double DemandTracker::pending_quota_fraction(const std::string& team, const TeamNeed& need) const {
+    const TeamQuota* quota = quotas_.quota(team);
+    double fraction = 1;
+    if (quota && quota->max_cpus > 0 && need.cpus > quota->max_cpus) {
+        fraction = (quota->max_cpus - need.placed_cpus) / (need.cpus - need.placed_cpus);
+    }
+    if (quota && quota->max_gpus > 0 && need.gpus > quota->max_gpus) {
+        fraction = std::min(fraction,
+                            (quota->max_gpus - need.placed_gpus) / (need.gpus - need.placed_gpus));
+    }
+    return std::max(0.0, fraction);
+}
+
+// Returns for how many periods, in which a machine boots, the job has had tasks to place.
+std::size_t DemandTracker::stuck_periods(Time now, const Job& job, const PendingTasks& pending) {
+    double waits_s = job.waiting_since > 0 ? now - job.waiting_since : 0;
+    return static_cast<std::size_t>(waits_s / (kStuckBoots * pending.type.boot_s));
+}
+
+// Returns whether some of the slots are of no use for the job's pending tasks. The tasks of an
+// unreconciled job may be running already.
+bool DemandTracker::needs_group(const Job& job, const PendingTasks& pending) const {
+    return !job.unreconciled && pending.count > 0 && !types_.all_fit(job.spec);
+}
+
+TaskGroups::Places DemandTracker::places_of(const JobSpec& spec,
+                                            const PendingTasks& pending) const {
+    TaskGroups::Places places{types_.fitting(spec), {}};
+    if (pending.open_zones.size() < settings_.zones.size()) {
+        places.zones = pending.open_zones;
+        std::sort(places.zones.begin(), places.zones.end());
+    }
+    return places;
+}
+
+// Adds the jobs' pending tasks to the groups, as far as the quotas of their teams admit them, and
+// returns the groups.
+std::vector<TaskGroup> DemandTracker::task_groups(const std::vector<GroupedJob>& jobs,
+                                                  const std::map<std::string, TeamNeed>& needs,
+                                                  TaskGroups groups) const {
+    for (const auto& job : jobs) {
+        const std::string& team = job.spec.team;
+        double admitted = job.tasks * pending_quota_fraction(team, needs.at(team));
+        double slots = (admitted + job.stuck_tasks) * job.slots_per_task;
+        // A team at its limit gets a machine for one task. Without any, each slot of its quota that
+        // falls free would go to its other jobs, whose machines are up.
+        groups.add(job.spec, job.places, std::max(admitted, kMinTasks) + job.stuck_tasks, slots);
+    }
+    return groups.all();
+}
+
 void DemandTracker::forget_old_arrivals(Time now) {
     while (!arrivals_.empty() &&
            now - arrivals_.front().at > kArrivalLeases * settings_.worker_lease_s) {
@@ -161,7 +217,7 @@
 Demand DemandTracker::demand(Time now) {
     Demand demand;
     std::map<std::string, TeamNeed> needs;
-    std::vector<RestrictedJob> restricted_jobs;
+    std::vector<GroupedJob> grouped_jobs;
     double remaining_slot_s = 0;
     for (const auto& [id, job] : jobs_.all()) {
         if (!job->open() || types_.empty()) {
@@ -171,27 +227,22 @@
         double stuck_tasks = add_zone_bound(now, *job, pending, demand);
         add_need(*job, pending, needs[job->spec.team]);
         remaining_slot_s += PendingQueue::remaining_s(*job) * pending.slots_per_task;
-        // The tasks of an unreconciled job may be running already.
-        if (!pending.types.empty() && !job->unreconciled) {
-            restricted_jobs.push_back({job->spec, std::move(pending.types),
-                                       concurrent_tasks(*job, pending), stuck_tasks});
+        if (needs_group(*job, pending)) {
+            grouped_jobs.push_back({job->spec, places_of(job->spec, pending),
+                                    pending.slots_per_task, concurrent_tasks(*job, pending),
+                                    stuck_tasks});
         }
     }
     demand.remaining_slot_s = remaining_slot_s;
     forget_old_arrivals(now);
-    RestrictedTaskGroups restricted(types_);
-    add_projected(now, demand, restricted);
+    TaskGroups groups(types_);
+    add_projected(now, demand, groups);
     for (const auto& [team, need] : needs) {
         double fraction = quota_fraction(team, need);
         demand.on_demand_slots += need.on_demand_slots * fraction;
         demand.spot_eligible_slots += need.spot_eligible_slots * fraction;
     }
-    for (const auto& job : restricted_jobs) {
-        const std::string& team = job.spec.team;
-        double fraction = quota_fraction(team, needs[team]);
-        restricted.add(job.spec, job.types, job.tasks * fraction + job.stuck_tasks);
-    }
-    demand.restricted = restricted.all();
+    demand.groups = task_groups(grouped_jobs, needs, std::move(groups));
     return demand;
 }
 
@@ -205,7 +256,7 @@
         }
         (machine.spot ? capacity.spot_slots : capacity.on_demand_slots) += machine.type.slots();
         if (std::size_t parts = idle_parts(machine); parts > 0) {
-            ++(*capacity.idle)[{machine.type.name, machine.spot}].at(parts - 1);
+            ++(*capacity.idle)[pool_of(machine)].at(parts - 1);
         }
     }
 }
@@ -226,9 +277,9 @@
 }
 
 void DemandTracker::add_idle(const PartitionCapacity& capacity, ClusterDemand& cluster_demand) {
-    for (const auto& [kind, machines] : capacity.idle.value_or(IdleMachines())) {
+    for (const auto& [pool, machines] : capacity.idle.value_or(IdleMachines())) {
         for (std::size_t i = 0; i < kIdleParts; ++i) {
-            cluster_demand.idle[kind].at(i) += machines.at(i);
+            cluster_demand.idle[pool].at(i) += machines.at(i);
         }
     }
 }
@@ -252,9 +303,8 @@
             cluster_demand.complete && now - peer.received_at < settings_.heartbeat_interval_s;
         cluster_demand.on_demand_slots += peer.capacity.on_demand_slots;
         cluster_demand.spot_slots += peer.capacity.spot_slots;
-        cluster_demand.demand.restricted.insert(cluster_demand.demand.restricted.end(),
-                                                peer.demand.restricted.begin(),
-                                                peer.demand.restricted.end());
+        cluster_demand.demand.groups.insert(cluster_demand.demand.groups.end(),
+                                            peer.demand.groups.begin(), peer.demand.groups.end());
         add_idle(peer.capacity, cluster_demand);
         cluster_demand.idle_unknown =
             cluster_demand.idle_unknown || (peer.received_at > 0 && !peer.capacity.idle);
@@ -263,7 +313,8 @@
         if (const InstanceType* type = types_.find(provisioned.request.type)) {
             (provisioned.request.spot ? cluster_demand.spot_slots
                                       : cluster_demand.on_demand_slots) += type->slots();
-            ++cluster_demand.idle[{type->name, provisioned.request.spot}].back();
+            const ScaleOut& request = provisioned.request;
+            ++cluster_demand.idle[{{request.type, request.spot}, request.zone}].back();
         }
     }
     return cluster_demand;
--- a/src/core/autoscaling/demand_tracker.h
+++ b/src/core/autoscaling/demand_tracker.h
@@ -4,9 +4,10 @@
 #pragma once
 
 #include <deque>
+#include <optional>
 
 #include "core/autoscaling/capacity_planner.h"
-#include "core/autoscaling/restricted_task_groups.h"
+#include "core/autoscaling/task_groups.h"
 #include "core/jobs/job_store.h"
 #include "core/leadership/leadership.h"
 #include "core/model/instance_type_catalog.h"
@@ -76,6 +77,8 @@
         double spot_eligible_slots = 0;
         double cpus = 0;
         double gpus = 0;
+        double placed_cpus = 0;
+        double placed_gpus = 0;
     };
     // A job's pending tasks, in slots of the cheapest instance type that fits.
     struct PendingTasks {
@@ -83,13 +86,13 @@
         double slots_per_task = 0;
         double count = 0;
         std::vector<std::string> open_zones; // zones in which the next task may be placed
-        std::vector<std::string> types;      // see InstanceTypeCatalog::restricted_to
     };
-    // The pending tasks of a job that may run on some instance types only.
-    struct RestrictedJob {
+    // A job whose pending tasks cannot use some of the slots.
+    struct GroupedJob {
         const JobSpec& spec;
-        std::vector<std::string> types;
-        double tasks = 0;       // that are to run at a time, as far as the team's quota admits
+        TaskGroups::Places places;
+        double slots_per_task = 0;
+        double tasks = 0;       // that are to run at a time, before they are limited by the quota
         double stuck_tasks = 0; // to be added regardless of the quota
     };
     Demand demand(Time now);
@@ -98,8 +101,15 @@
     static double add_zone_bound(Time now, const Job& job, const PendingTasks& pending,
                                  Demand& demand);
     void add_need(const Job& job, const PendingTasks& pending, TeamNeed& need) const;
-    void add_projected(Time now, Demand& demand, RestrictedTaskGroups& restricted) const;
+    void add_projected(Time now, Demand& demand, TaskGroups& groups) const;
     double quota_fraction(const std::string& team, const TeamNeed& need) const;
+    double pending_quota_fraction(const std::string& team, const TeamNeed& need) const;
+    static std::size_t stuck_periods(Time now, const Job& job, const PendingTasks& pending);
+    bool needs_group(const Job& job, const PendingTasks& pending) const;
+    TaskGroups::Places places_of(const JobSpec& spec, const PendingTasks& pending) const;
+    std::vector<TaskGroup> task_groups(const std::vector<GroupedJob>& jobs,
+                                       const std::map<std::string, TeamNeed>& needs,
+                                       TaskGroups groups) const;
     void forget_old_arrivals(Time now);
     void update_capacity(Time now);
     static void add_idle(const PartitionCapacity& capacity, ClusterDemand& cluster_demand);
@@ -123,8 +133,8 @@
         Time at = 0;
         double slot_s = 0; // the job's slots times the boot time of its machines
         double task_s = 0; // its tasks times that time
-        // Where the tasks may run, if on some instance types only. `spec` is only set then.
-        std::vector<std::string> types;
+        // Where the tasks may run and what they need, if they cannot use some of the slots.
+        std::optional<TaskGroups::Places> places;
         JobSpec spec;
     };
     std::deque<Arrival> arrivals_;
--- a/src/core/autoscaling/restricted_task_groups.cpp
+++ b/src/core/autoscaling/task_groups.cpp
@@ -1,4 +1,4 @@
-#include "core/autoscaling/restricted_task_groups.h"
+#include "core/autoscaling/task_groups.h"
 
 #include <algorithm>
 #include <cmath>
@@ -16,24 +16,24 @@
 }
 } // namespace
 
-void RestrictedTaskGroups::add(const JobSpec& spec, const std::vector<std::string>& allowed_types,
-                               double tasks) {
+void TaskGroups::add(const JobSpec& spec, const Places& places, double tasks, double slots) {
     if (tasks <= 0) {
         return;
     }
-    auto [entry, is_new] = groups_.try_emplace(
-        Requirements{allowed_types, spec.spot, spec.cpus, spec.gpus, spec.ram_gb});
+    auto [entry, is_new] =
+        groups_.try_emplace(Requirements{places, spec.spot, spec.cpus, spec.gpus, spec.ram_gb});
     if (is_new) {
         entry->second.cheapest_type = types_.cheapest_fitting(spec).name;
     }
     entry->second.tasks += tasks;
+    entry->second.slots += slots;
 }
 
-RestrictedTaskGroups::Groups RestrictedTaskGroups::united_by_types(const Groups& groups) {
+TaskGroups::Groups TaskGroups::united_by_places(const Groups& groups) {
     // The highest requirements of each group to be, by what its members have in common.
     std::map<Requirements, Requirements> highest;
     auto common = [](const Requirements& requirements) {
-        return Requirements{requirements.types, requirements.spot};
+        return Requirements{requirements.places, requirements.spot};
     };
     for (const auto& [requirements, group] : groups) {
         Requirements& united =
@@ -47,34 +47,38 @@
         Group& entry = united.try_emplace(highest.at(common(requirements))).first->second;
         entry.cheapest_type = group.cheapest_type;
         entry.tasks += group.tasks;
+        entry.slots += group.slots;
     }
     return united;
 }
 
-RestrictedTaskGroups::Groups RestrictedTaskGroups::restricted_to_cheapest(const Groups& groups) {
-    Groups restricted;
+TaskGroups::Groups TaskGroups::limited_to_one_place(const Groups& groups) {
+    Groups one_place;
     for (const auto& [requirements, group] : groups) {
-        Requirements narrower = requirements;
-        narrower.types = {group.cheapest_type};
-        Group& entry = restricted.try_emplace(narrower).first->second;
+        Requirements limited = requirements;
+        limited.places.types = {group.cheapest_type};
+        limited.places.zones.resize(std::min<std::size_t>(limited.places.zones.size(), 1));
+        Group& entry = one_place.try_emplace(limited).first->second;
         entry.cheapest_type = group.cheapest_type;
         entry.tasks += group.tasks;
+        entry.slots += group.slots;
     }
-    return restricted;
+    return one_place;
 }
 
-std::vector<RestrictedTasks> RestrictedTaskGroups::all() const {
+std::vector<TaskGroup> TaskGroups::all() const {
     Groups groups = groups_;
     if (groups.size() > kMaxGroups) {
-        groups = united_by_types(groups);
+        groups = united_by_places(groups);
     }
     if (groups.size() > kMaxGroups) {
-        groups = united_by_types(restricted_to_cheapest(groups_));
+        groups = united_by_places(limited_to_one_place(groups_));
     }
-    std::vector<RestrictedTasks> all;
+    std::vector<TaskGroup> all;
     for (const auto& [requirements, group] : groups) {
-        all.push_back({requirements.types, requirements.spot, requirements.cpus, requirements.gpus,
-                       requirements.ram_gb, rounded_up(group.tasks)});
+        all.push_back({requirements.places.types, requirements.places.zones, requirements.spot,
+                       requirements.cpus, requirements.gpus, requirements.ram_gb,
+                       rounded_up(group.tasks), group.slots});
     }
     return all;
 }
--- a/src/core/autoscaling/task_packing.cpp
+++ b/src/core/autoscaling/task_packing.cpp
@@ -11,7 +11,7 @@
 // Tolerance for rounding errors in quotients of slots.
 constexpr double kRounding = 1e-6;
 
-bool allows_type(const RestrictedTasks& tasks, const std::string& type) {
+bool allows_type(const TaskGroup& tasks, const std::string& type) {
     return std::binary_search(tasks.types.begin(), tasks.types.end(), type);
 }
 
@@ -20,46 +20,53 @@
 }
 } // namespace
 
-int slots_per_task(const RestrictedTasks& tasks, const InstanceType& type) {
+bool allows_zone(const TaskGroup& tasks, const std::string& zone) {
+    return tasks.zones.empty() || std::binary_search(tasks.zones.begin(), tasks.zones.end(), zone);
+}
+
+int slots_per_task(const TaskGroup& tasks, const InstanceType& type) {
     if (!allows_type(tasks, type.name)) {
         return 0;
     }
     return slots_needed(type, tasks.cpus, tasks.gpus, tasks.ram_gb);
 }
 
-std::uint32_t tasks_per_machine(const RestrictedTasks& tasks, const InstanceType& type) {
+std::uint32_t tasks_per_machine(const TaskGroup& tasks, const InstanceType& type) {
     int slots = slots_per_task(tasks, type);
     return slots > 0 ? tasks_in(type.slots(), slots) : 0;
 }
 
-TaskPacking::TaskPacking(const std::vector<InstanceType>& types, const IdleMachines& idle)
-    : types_(types) {
-    for (const auto& type : types_) {
-        for (bool spot : {false, true}) {
-            SlotKind kind{type.name, spot};
-            auto found = idle.find(kind);
-            if (found == idle.end()) {
-                continue;
-            }
-            for (std::size_t i = 0; i < kIdleParts; ++i) {
-                if (std::uint32_t machines = found->second.at(i); machines > 0) {
-                    double idle_part = static_cast<double>(i + 1) / kIdleParts;
-                    machines_[kind][idle_part * type.slots()] += machines;
-                }
+TaskPacking::TaskPacking(const std::vector<InstanceType>& types, const IdleMachines& idle) {
+    for (const auto& type : types) {
+        types_[type.name] = type;
+    }
+    for (const auto& [pool, machines] : idle) {
+        auto type = types_.find(pool.kind.type);
+        if (type == types_.end()) {
+            continue;
+        }
+        for (std::size_t i = 0; i < kIdleParts; ++i) {
+            if (machines.at(i) > 0) {
+                double idle_part = static_cast<double>(i + 1) / kIdleParts;
+                machines_[pool][idle_part * type->second.slots()] += machines.at(i);
             }
         }
     }
 }
 
-std::uint32_t TaskPacking::pack(const RestrictedTasks& tasks) {
+std::uint32_t TaskPacking::pack(const TaskGroup& tasks) {
     std::uint32_t left = tasks.tasks;
     for (bool spot : {true, false}) {
-        if (spot && !tasks.spot) {
-            continue;
-        }
-        for (const auto& type : types_) {
-            if (int slots = slots_per_task(tasks, type); slots > 0) {
-                left -= pack_on_kind({type.name, spot}, slots, left);
+        for (auto& [pool, machines] : machines_) {
+            bool allowed =
+                pool.kind.spot == spot && (tasks.spot || !spot) && allows_zone(tasks, pool.zone);
+            int slots = allowed ? slots_per_task(tasks, types_.at(pool.kind.type)) : 0;
+            if (slots == 0) {
+                continue;
+            }
+            if (std::uint32_t packed = pack_in_pool(machines, slots, left); packed > 0) {
+                left -= packed;
+                used_pools_.insert(pool);
             }
         }
     }
@@ -67,14 +74,10 @@
 }
 
 // Packs up to `tasks` tasks of `slots` slots each. Returns how many fit.
-std::uint32_t TaskPacking::pack_on_kind(const SlotKind& kind, int slots, std::uint32_t tasks) {
-    auto found = machines_.find(kind);
-    if (found == machines_.end()) {
-        return 0;
-    }
+std::uint32_t TaskPacking::pack_in_pool(MachinesByIdleSlots& machines, int slots,
+                                        std::uint32_t tasks) {
     MachinesByIdleSlots left_over;
     std::uint32_t packed = 0;
-    auto& machines = found->second;
     auto bin = machines.lower_bound(slots - kRounding);
     while (bin != machines.end() && packed < tasks) {
         const double idle = bin->first;
@@ -90,14 +93,11 @@
     for (const auto& [idle, count] : left_over) {
         machines[idle] += count;
     }
-    if (packed > 0) {
-        packed_slots_[kind] += static_cast<double>(packed) * slots;
-    }
     return packed;
 }
 
-double TaskPacking::idle_slots(const SlotKind& kind) const {
-    auto found = machines_.find(kind);
+double TaskPacking::idle_slots(const MachinePool& pool) const {
+    auto found = machines_.find(pool);
     double slots = 0;
     if (found != machines_.end()) {
         for (const auto& [idle, machines] : found->second) {
--- a/src/core/autoscaling/task_packing.h
+++ b/src/core/autoscaling/task_packing.h
@@ -3,40 +3,46 @@
 #pragma once
 
 #include <map>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "core/messaging/peer_messages.h"
 
 namespace scheduler {
 
+// Returns whether the tasks may run in the zone.
+bool allows_zone(const TaskGroup& tasks, const std::string& zone);
+
 // Returns the number of slots that one of the tasks takes up on a machine of the type, or 0 if it
 // may not run there.
-int slots_per_task(const RestrictedTasks& tasks, const InstanceType& type);
+int slots_per_task(const TaskGroup& tasks, const InstanceType& type);
 
 // Returns the number of the tasks that an empty machine of the type can run at a time.
-std::uint32_t tasks_per_machine(const RestrictedTasks& tasks, const InstanceType& type);
+std::uint32_t tasks_per_machine(const TaskGroup& tasks, const InstanceType& type);
 
 class TaskPacking {
   public:
-    // `types` must outlive the packing. Idle machines of other types are ignored.
+    // Idle machines of other types are ignored.
     TaskPacking(const std::vector<InstanceType>& types, const IdleMachines& idle);
 
     // Packs as many of the tasks as fit, each onto the machine with the fewest idle slots that it
     // fits on; spot machines first, if it may run on them. Returns the number of tasks that do not
     // fit.
-    std::uint32_t pack(const RestrictedTasks& tasks);
-    // The slots that the packed tasks take up, by kind of machine.
-    const std::map<SlotKind, double>& packed_slots() const { return packed_slots_; }
-    // The idle slots of machines of this kind that no packed task takes up.
-    double idle_slots(const SlotKind& kind) const;
+    std::uint32_t pack(const TaskGroup& tasks);
+    // The pools of machines that tasks have been packed onto.
+    const std::set<MachinePool>& used_pools() const { return used_pools_; }
+    // The idle slots of the pool's machines that no packed task takes up.
+    double idle_slots(const MachinePool& pool) const;
 
   private:
     using MachinesByIdleSlots = std::map<double, std::uint32_t>;
-    std::uint32_t pack_on_kind(const SlotKind& kind, int slots, std::uint32_t tasks);
+    static std::uint32_t pack_in_pool(MachinesByIdleSlots& machines, int slots,
+                                      std::uint32_t tasks);
 
-    const std::vector<InstanceType>& types_;
-    std::map<SlotKind, MachinesByIdleSlots> machines_;
-    std::map<SlotKind, double> packed_slots_;
+    std::map<std::string, InstanceType> types_;
+    std::map<MachinePool, MachinesByIdleSlots> machines_;
+    std::set<MachinePool> used_pools_;
 };
 
 } // namespace scheduler
--- a/src/core/messaging/peer_messages.h
+++ b/src/core/messaging/peer_messages.h
@@ -76,21 +76,23 @@
     double image_gb = 0;
 };
 
-// Pending tasks with the same requirements that may run on some instance types only.
-struct RestrictedTasks {
+// Pending tasks with the same requirements, for which some slots are of no use.
+struct TaskGroup {
     std::vector<std::string> types; // that each task may run on, in ascending order; not empty
+    std::vector<std::string> zones; // that each task may run in, in ascending order; empty: any
     bool spot = false;              // may run on spot machines
     double cpus = 0;                // of each task
     double gpus = 0;
     double ram_gb = 0;
     std::uint32_t tasks = 0; // that are to run at a time
+    double slots = 0;        // the part of the demand's sums that they account for
 };
 
-// Machines of one kind by their idle part. The element at `i` counts those of which at least `i +
+// Machines of one pool by their idle part. The element at `i` counts those of which at least `i +
 // 1` parts are idle, and fewer than `i + 2`. A machine has kIdleParts parts.
 inline constexpr std::size_t kIdleParts = 8;
 using MachinesByIdleParts = std::array<std::uint32_t, kIdleParts>;
-using IdleMachines = std::map<SlotKind, MachinesByIdleParts>;
+using IdleMachines = std::map<MachinePool, MachinesByIdleParts>;
 
 // The pending and running work of a partition, in slots.
 struct Demand {
@@ -99,8 +101,8 @@
     double remaining_slot_s = 0;    // estimated run time left, in slot seconds
     // Of the pending work, slots that only one zone can give, by zone.
     std::map<std::string, double> zone_bound_slots;
-    // The pending work that may run on some instance types only. The sums above include it.
-    std::vector<RestrictedTasks> restricted;
+    // The pending work for which some slots are of no use. The sums above include it.
+    std::vector<TaskGroup> groups;
 };
 
 // The usable machines of a partition, in slots, and the spare capacity of its leader.
--- a/src/core/model/instance_type_catalog.cpp
+++ b/src/core/model/instance_type_catalog.cpp
@@ -41,14 +41,15 @@
                              [&](const auto& a, const auto& b) { return cost(a) < cost(b); });
 }
 
-std::vector<std::string> InstanceTypeCatalog::restricted_to(const JobSpec& spec) const {
-    auto accepts = [&](const InstanceType& type) { return may_run_on(spec, type); };
-    if (std::all_of(all_.begin(), all_.end(), accepts)) {
-        return {};
-    }
+bool InstanceTypeCatalog::all_fit(const JobSpec& spec) const {
+    return std::all_of(all_.begin(), all_.end(),
+                       [&](const InstanceType& type) { return may_run_on(spec, type); });
+}
+
+std::vector<std::string> InstanceTypeCatalog::fitting(const JobSpec& spec) const {
     std::vector<std::string> names;
     for (const auto& type : all_) {
-        if (accepts(type)) {
+        if (may_run_on(spec, type)) {
             names.push_back(type.name);
         }
     }
--- a/src/core/model/instance_type_catalog.h
+++ b/src/core/model/instance_type_catalog.h
@@ -21,9 +21,11 @@
     // The slots of pending tasks are counted in units of this type. If the task fits no type,
     // returns the cheapest of all types. The catalog must not be empty.
     const InstanceType& cheapest_fitting(const JobSpec& spec) const;
-    // Returns the names, in ascending order, of the types that the job allows and that one of its
-    // tasks fits on; empty if all types are such, so that nothing restricts the job, or none is.
-    std::vector<std::string> restricted_to(const JobSpec& spec) const;
+    // Returns whether the job allows all types and each is large enough for one of its tasks.
+    bool all_fit(const JobSpec& spec) const;
+    // Returns the names, in ascending order, of the types that the job allows and that are large
+    // enough for one of its tasks.
+    std::vector<std::string> fitting(const JobSpec& spec) const;
     // Returns all types in descending order of their image fetch speed.
     const std::vector<const InstanceType*>& by_fetch_speed() const { return by_fetch_; }
 
--- a/src/core/model/machine.h
+++ b/src/core/model/machine.h
@@ -33,6 +33,13 @@
     auto operator<=>(const SlotKind&) const = default;
 };
 
+// Machines of one kind in one zone.
+struct MachinePool {
+    SlotKind kind;
+    std::string zone;
+    auto operator<=>(const MachinePool&) const = default;
+};
+
 enum class InstanceState { booting, running, failed };
 
 // An entry of the cloud's list of provisioned machines. The list may be outdated by
--- a/src/core/recovery/failover.cpp
+++ b/src/core/recovery/failover.cpp
@@ -294,6 +294,9 @@
         return;
     }
     advance_to(Phase::serving);
+    for (const auto& [id, job] : state_.jobs.all()) {
+        job->unreconciled = false;
+    }
     count_unreconciled_usage();
     const Leadership& leadership = partition_.leadership;
     requests_.log(LogLevel::info,
--- a/src/wire/peer_messages.cpp
+++ b/src/wire/peer_messages.cpp
@@ -8,32 +8,43 @@
 namespace {
 constexpr std::array<std::string_view, 4> kRemoteCommandNames{"stop", "clear", "shape", "back"};
 
-void pack_restricted_tasks(Packer& packer, const std::vector<RestrictedTasks>& restricted) {
-    packer.pack_array(static_cast<std::uint32_t>(restricted.size()));
-    for (const auto& group : restricted) {
-        packer.pack_map(6);
+std::vector<std::string> unpack_text_list(const Fields& fields, const char* name) {
+    std::vector<std::string> texts;
+    for (const auto* item : fields.list(name)) {
+        texts.push_back(Fields::as_text(*item, name));
+    }
+    return texts;
+}
+
+void pack_task_groups(Packer& packer, const std::vector<TaskGroup>& groups) {
+    packer.pack_array(static_cast<std::uint32_t>(groups.size()));
+    for (const auto& group : groups) {
+        packer.pack_map(8);
         pack_field(packer, "types", group.types);
+        pack_field(packer, "zones", group.zones);
         pack_field(packer, "spot", group.spot);
         pack_field(packer, "cpus", group.cpus);
         pack_field(packer, "gpus", group.gpus);
         pack_field(packer, "ram_gb", group.ram_gb);
         pack_field(packer, "tasks", group.tasks);
+        pack_field(packer, "slots", group.slots);
     }
 }
 
 void pack_idle_machines(Packer& packer, const IdleMachines& idle) {
     packer.pack_array(static_cast<std::uint32_t>(idle.size()));
-    for (const auto& [kind, machines] : idle) {
-        packer.pack_map(3);
-        pack_field(packer, "type", kind.type);
-        pack_field(packer, "spot", kind.spot);
+    for (const auto& [pool, machines] : idle) {
+        packer.pack_map(4);
+        pack_field(packer, "type", pool.kind.type);
+        pack_field(packer, "spot", pool.kind.spot);
+        pack_field(packer, "zone", pool.zone);
         pack_field(packer, "parts", machines);
     }
 }
 
 // Returns the number of fields that pack_demand_and_capacity() packs.
 std::uint32_t demand_and_capacity_fields(const Demand& demand, const PartitionCapacity& capacity) {
-    return 8 + (demand.restricted.empty() ? 0 : 1) + (capacity.idle ? 1 : 0);
+    return 8 + (demand.groups.empty() ? 0 : 1) + (capacity.idle ? 1 : 0);
 }
 
 void pack_demand_and_capacity(Packer& packer, const Demand& demand,
@@ -52,9 +63,9 @@
     pack_field(packer, "spot", capacity.spot_slots);
     pack_field(packer, "capacity", capacity.cpu_headroom);
     pack_field(packer, "takes", capacity.accepts_shards);
-    if (!demand.restricted.empty()) {
-        pack_key(packer, "restricted");
-        pack_restricted_tasks(packer, demand.restricted);
+    if (!demand.groups.empty()) {
+        pack_key(packer, "groups");
+        pack_task_groups(packer, demand.groups);
     }
     if (capacity.idle) {
         pack_key(packer, "idle");
@@ -70,20 +81,20 @@
     return static_cast<std::uint32_t>(count);
 }
 
-RestrictedTasks unpack_restricted_tasks(const msgpack::object& item) {
+TaskGroup unpack_task_group(const msgpack::object& item) {
     Fields fields(item);
-    RestrictedTasks group;
-    for (const auto* type : fields.list("types")) {
-        group.types.push_back(Fields::as_text(*type, "types"));
-    }
+    TaskGroup group;
+    group.types = unpack_text_list(fields, "types");
     if (group.types.empty()) {
         throw MessageError("types: empty");
     }
+    group.zones = unpack_text_list(fields, "zones");
     group.spot = fields.flag("spot");
     group.cpus = fields.amount("cpus");
     group.gpus = fields.amount("gpus");
     group.ram_gb = fields.amount("ram_gb");
     group.tasks = unpack_count(fields.required("tasks"), "tasks");
+    group.slots = fields.amount("slots");
     return group;
 }
 
@@ -94,13 +105,13 @@
     }
     IdleMachines idle;
     for (const auto* item : fields.list("idle")) {
-        Fields kind_fields(*item);
-        auto parts = kind_fields.list("parts");
+        Fields pool(*item);
+        auto parts = pool.list("parts");
         if (parts.size() != kIdleParts) {
             throw MessageError("parts: wrong number");
         }
         MachinesByIdleParts& machines =
-            idle[SlotKind{kind_fields.text("type"), kind_fields.flag("spot")}];
+            idle[MachinePool{{pool.text("type"), pool.flag("spot")}, pool.text("zone")}];
         for (std::size_t i = 0; i < kIdleParts; ++i) {
             machines.at(i) = unpack_count(*parts[i], "parts");
         }
@@ -118,9 +129,9 @@
         Fields zone_fields(*item);
         demand.zone_bound_slots[zone_fields.text("zone")] = zone_fields.amount("slots");
     }
-    if (fields.find("restricted")) {
-        for (const auto* item : fields.list("restricted")) {
-            demand.restricted.push_back(unpack_restricted_tasks(*item));
+    if (fields.find("groups")) {
+        for (const auto* item : fields.list("groups")) {
+            demand.groups.push_back(unpack_task_group(*item));
         }
     }
     return demand;
@@ -166,14 +177,6 @@
         (flags & 2) != 0};
 }
 
-std::vector<std::string> unpack_text_list(const Fields& fields, const char* name) {
-    std::vector<std::string> texts;
-    for (const auto* item : fields.list(name)) {
-        texts.push_back(Fields::as_text(*item, name));
-    }
-    return texts;
-}
-
 std::uint32_t unpack_index(const msgpack::object& value, const char* name) {
     std::uint64_t index = Fields::as_integer(value, name);
     if (index >= kMaxTasksPerJob) {
--- a/tests/wire_format_peer_test.cpp
+++ b/tests/wire_format_peer_test.cpp
@@ -166,24 +166,26 @@
     return request;
 }
 
-std::vector<RestrictedTasks> restricted_tasks() {
-    return {{{"c16", "g8"}, true, 1.5, 2.5, 3.5, 70000}, {{"g8"}, false, 8.5, 0, 64.5, 1}};
+std::vector<TaskGroup> task_groups() {
+    return {{{"c16", "g8"}, {"east", "west"}, true, 1.5, 2.5, 3.5, 70000, 4.5},
+            {{"g8"}, {}, false, 8.5, 0, 64.5, 1, 0.25}};
 }
 
 IdleMachines idle_machines() {
-    return {{{"c16", false}, {1, 2, 3, 4, 5, 6, 7, 70000}}, {{"g8", true}, {0, 0, 0, 9}}};
+    return {{{{"c16", false}, "east"}, {1, 2, 3, 4, 5, 6, 7, 70000}},
+            {{{"g8", true}, "west"}, {0, 0, 0, 9}}};
 }
 
-PeerSyncRequest sync_request_with_restricted_tasks() {
+PeerSyncRequest sync_request_with_task_groups() {
     PeerSyncRequest request;
-    request.demand.restricted = restricted_tasks();
+    request.demand.groups = task_groups();
     request.capacity.idle = idle_machines();
     return request;
 }
 
-PeerSyncResponse sync_response_with_restricted_tasks() {
+PeerSyncResponse sync_response_with_task_groups() {
     PeerSyncResponse response;
-    response.demand.restricted = restricted_tasks();
+    response.demand.groups = task_groups();
     response.capacity.idle = idle_machines();
     return response;
 }
@@ -409,12 +411,11 @@
         foreign_request_encoding(
             "exchange/call_capacity_too_low", sync_request_body(sync_request_out_of_range(0)),
             PeerSyncCall{kPeer, sync_request_in_range(0.01)}, decode_sync_request),
-        request_encoding("exchange/call_restricted",
-                         PeerSyncCall{kPeer, sync_request_with_restricted_tasks()},
-                         decode_sync_request),
+        request_encoding("exchange/call_groups",
+                         PeerSyncCall{kPeer, sync_request_with_task_groups()}, decode_sync_request),
         response_encoding("exchange/reply_minimal", PeerSyncCall{}, PeerSyncResponse{}),
-        response_encoding("exchange/reply_restricted", PeerSyncCall{},
-                          sync_response_with_restricted_tasks()),
+        response_encoding("exchange/reply_groups", PeerSyncCall{},
+                          sync_response_with_task_groups()),
         response_encoding("exchange/reply_without_machines", PeerSyncCall{},
                           sync_response_without_machines()),
         response_encoding("exchange/reply_clean_and_full", PeerSyncCall{},
@@ -486,37 +487,40 @@
     EXPECT_EQ(wire::decode_response(1, CancellationCall{}, 503, body).status, 503);
 }
 
-// Restricted tasks without types, or a report of idle machines in more or fewer parts, cannot be
+// Pending tasks without types, or a report of idle machines in more or fewer parts, cannot be
 // used: the message is refused as a whole.
-TEST(WireFormat, MalformedRestrictedTasksAndIdleMachinesAreRefused) {
+TEST(WireFormat, MalformedTaskGroupAndIdleMachinesAreRefused) {
     auto minimal_with = [](const PackedField& field) {
         std::string body = sync_request_body(PeerSyncRequest{});
         const std::string map_of_twenty("\xde\x00\x14", 3);
         EXPECT_EQ(body.substr(0, 3), std::string("\xde\x00\x13", 3));
         return map_of_twenty + body.substr(3) + packed(field.name) + field.value;
     };
-    auto restricted = [&](const std::string& types, const std::string& tasks) {
-        return minimal_with({"restricted", packed_list({packed_map({{"types", types},
-                                                                    {"spot", packed(true)},
-                                                                    {"cpus", packed(1.0)},
-                                                                    {"gpus", packed(0.0)},
-                                                                    {"ram_gb", packed(2.0)},
-                                                                    {"tasks", tasks}})})});
+    auto groups = [&](const std::string& types, const std::string& tasks) {
+        return minimal_with({"groups", packed_list({packed_map({{"types", types},
+                                                                {"zones", packed_list({})},
+                                                                {"spot", packed(true)},
+                                                                {"cpus", packed(1.0)},
+                                                                {"gpus", packed(0.0)},
+                                                                {"ram_gb", packed(2.0)},
+                                                                {"tasks", tasks},
+                                                                {"slots", packed(3.0)}})})});
     };
     auto idle = [&](const std::vector<std::string>& parts) {
         return minimal_with({"idle", packed_list({packed_map({{"type", packed("g8")},
                                                               {"spot", packed(false)},
+                                                              {"zone", packed("east")},
                                                               {"parts", packed_list(parts)}})})});
     };
     const std::vector<std::string> eight_parts(kIdleParts, packed(1));
     const std::vector<std::string> seven_parts(kIdleParts - 1, packed(1));
-    EXPECT_EQ(wire::parse_peer_sync_request(restricted(packed_list({packed("g8")}), packed(3)))
-                  .demand.restricted.size(),
+    EXPECT_EQ(wire::parse_peer_sync_request(groups(packed_list({packed("g8")}), packed(3)))
+                  .demand.groups.size(),
               1u);
-    EXPECT_THROW(wire::parse_peer_sync_request(restricted(packed_list({}), packed(3))),
+    EXPECT_THROW(wire::parse_peer_sync_request(groups(packed_list({}), packed(3))),
                  wire::MessageError);
     EXPECT_THROW(
-        wire::parse_peer_sync_request(restricted(packed_list({packed("g8")}), packed(1ULL << 40))),
+        wire::parse_peer_sync_request(groups(packed_list({packed("g8")}), packed(1ULL << 40))),
         wire::MessageError);
     EXPECT_EQ(wire::parse_peer_sync_request(idle(eight_parts)).capacity.idle->size(), 1u);
     EXPECT_THROW(wire::parse_peer_sync_request(idle(seven_parts)), wire::MessageError);
