Rent for tasks that wait longer than a boot though the sums say that slots suffice

A job bound to one zone waited beside idle slots in the other zone, or beside slots there that services hold. A task that needs a whole machine waited beside machines that each run a small service, as their idle parts were added up. A job that may only run on on-demand machines waited while services that may run on spot machines hold them all.

Cause: as before, slots that the waiting tasks cannot use counted as capacity for them. Zone-bound work that waits for 1.5 boots raised the sums by its slots once, which idle slots elsewhere cover.

Change: pending tasks of a job that has waited for longer than 1.5 boots, by when machines rented by the sums are up, are matched with idle machines like those that only some types can run, and machines are rented for what does not fit.

--- a/src/core/autoscaling/demand_tracker.cpp
+++ b/src/core/autoscaling/demand_tracker.cpp
@@ -175,10 +175,14 @@
     return static_cast<std::size_t>(waits_s / (kStuckBoots * pending.type.boot_s));
 }
 
-// Returns whether some of the slots are of no use for the job's pending tasks. The tasks of an
-// unreconciled job may be running already.
-bool DemandTracker::needs_group(const Job& job, const PendingTasks& pending) const {
-    return !job.unreconciled && pending.count > 0 && !types_.all_fit(job.spec);
+// Returns whether some of the slots are of no use for the job's pending tasks: of other instance
+// types, or whatever slots there are while the tasks wait for longer than a machine boots. The
+// tasks of an unreconciled job may be running already.
+bool DemandTracker::needs_group(Time now, const Job& job, const PendingTasks& pending) const {
+    if (job.unreconciled || pending.count == 0) {
+        return false;
+    }
+    return !types_.all_fit(job.spec) || stuck_periods(now, job, pending) > 0;
 }
 
 TaskGroups::Places DemandTracker::places_of(const JobSpec& spec,
@@ -227,7 +231,7 @@
         double stuck_tasks = add_zone_bound(now, *job, pending, demand);
         add_need(*job, pending, needs[job->spec.team]);
         remaining_slot_s += PendingQueue::remaining_s(*job) * pending.slots_per_task;
-        if (needs_group(*job, pending)) {
+        if (needs_group(now, *job, pending)) {
             grouped_jobs.push_back({job->spec, places_of(job->spec, pending),
                                     pending.slots_per_task, concurrent_tasks(*job, pending),
                                     stuck_tasks});
--- a/src/core/autoscaling/demand_tracker.h
+++ b/src/core/autoscaling/demand_tracker.h
@@ -105,7 +105,7 @@
     double quota_fraction(const std::string& team, const TeamNeed& need) const;
     double pending_quota_fraction(const std::string& team, const TeamNeed& need) const;
     static std::size_t stuck_periods(Time now, const Job& job, const PendingTasks& pending);
-    bool needs_group(const Job& job, const PendingTasks& pending) const;
+    bool needs_group(Time now, const Job& job, const PendingTasks& pending) const;
     TaskGroups::Places places_of(const JobSpec& spec, const PendingTasks& pending) const;
     std::vector<TaskGroup> task_groups(const std::vector<GroupedJob>& jobs,
                                        const std::map<std::string, TeamNeed>& needs,
--- a/tests/autoscaling_test.cpp
+++ b/tests/autoscaling_test.cpp
@@ -123,6 +123,65 @@
     EXPECT_TRUE(cluster.broken.empty()) << cluster.broken.front();
 }
 
+// A job bound to one zone waited for ever beside slots in another zone, whether idle or held by
+// services for good, since they were counted as capacity for it.
+TEST(ScaleOut, RentsInTheZoneOfTheWaitingJob) {
+    for (bool services : {false, true}) {
+        for (std::uint32_t tasks : {1U, 4U}) {
+            SimulatedCluster cluster({.run_s = 20, .limits = 20, .capacity = 40});
+            cluster.run_for(3);
+            JobSpec first = cluster.job("job-1", services ? 10 : 40, services ? 5 : 2);
+            first.kind = services ? JobKind::service : JobKind::array;
+            first.zone = "a";
+            cluster.submit(0, first);
+            if (services) {
+                cluster.run_for(60);
+            } else {
+                ASSERT_TRUE(done_within(cluster, "job-1", kMaxWaitS));
+            }
+            JobSpec second = cluster.job("req-2", tasks);
+            second.zone = "b";
+            cluster.submit(0, second);
+            EXPECT_TRUE(done_within(cluster, "req-2", kMaxWaitS)) << cluster.describe("req-2");
+            EXPECT_TRUE(cluster.broken.empty()) << cluster.broken.front();
+        }
+    }
+}
+
+// Each machine runs a service, so none has room for a task that needs a whole one. The idle parts
+// of the machines were added up and counted as capacity for it.
+TEST(ScaleOut, RentsAMachineForATaskThatFitsBesideNoService) {
+    SimulatedCluster cluster({.limits = 20, .capacity = 40});
+    cluster.run_for(3);
+    JobSpec service = cluster.job("svc-1", 6, 5);
+    service.kind = JobKind::service;
+    cluster.submit(0, service);
+    cluster.run_for(60);
+    cluster.submit(0, cluster.job("req-1", 1, 8));
+    EXPECT_TRUE(done_within(cluster, "req-1", kMaxWaitS)) << cluster.describe("req-1");
+    EXPECT_TRUE(cluster.broken.empty()) << cluster.broken.front();
+}
+
+// Services that may run on spot machines hold all on-demand machines for good. These were counted
+// as capacity for a job that may only run on on-demand machines.
+TEST(ScaleOut, RentsOnDemandMachinesBesideOnesThatServicesHoldForGood) {
+    SimulatedCluster cluster({.limits = 20, .capacity = 40});
+    cluster.run_for(3);
+    JobSpec first = cluster.job("req-1", 8, 4);
+    first.spot = false;
+    cluster.submit(0, first);
+    ASSERT_TRUE(done_within(cluster, "req-1", kMaxWaitS));
+    JobSpec service = cluster.job("svc-1", 8, 4);
+    service.kind = JobKind::service;
+    cluster.submit(0, service);
+    cluster.run_for(5);
+    JobSpec second = cluster.job("req-2", 2, 4);
+    second.spot = false;
+    cluster.submit(0, second);
+    EXPECT_TRUE(done_within(cluster, "req-2", kMaxWaitS)) << cluster.describe("req-2");
+    EXPECT_TRUE(cluster.broken.empty()) << cluster.broken.front();
+}
+
 // The tasks of a team at its limit cannot use more machines. Pending tasks of a certain type must
 // not have machines rented for all of them, nor for none: as long as there is no machine, the slots
 // of the quota that fall free go to the team's other jobs.
