--- a/tests/autoscaling_test.cpp
+++ b/tests/autoscaling_test.cpp
@@ -182,6 +182,17 @@
     EXPECT_TRUE(cluster.broken.empty()) << cluster.broken.front();
 }
 
+// While the cloud has no spot machines, jobs that may use them must get on-demand machines. They
+// wait until the cloud has spot machines again.
+TEST(ScaleOut, RentsOnDemandMachinesWhileSpotMachinesAreSoldOut) {
+    SimulatedCluster cluster({.limits = 20, .capacity = 40});
+    cluster.set_spot_sold_out(true);
+    cluster.run_for(3);
+    cluster.submit(0, cluster.job("req-1", 4));
+    EXPECT_TRUE(done_within(cluster, "req-1", 5 * kMaxWaitS)) << cluster.describe("req-1");
+    EXPECT_TRUE(cluster.broken.empty()) << cluster.broken.front();
+}
+
 // The tasks of a team at its limit cannot use more machines. Pending tasks of a certain type must
 // not have machines rented for all of them, nor for none: as long as there is no machine, the slots
 // of the quota that fall free go to the team's other jobs.
--- a/tests/simulated_cluster.h
+++ b/tests/simulated_cluster.h
@@ -111,6 +111,8 @@
     void set_cloud_down(bool down) { cloud_.set_down(down); }
     // From now on, the cloud provisions a machine only while it has fewer than this number.
     void set_cloud_capacity(std::size_t machines) { cloud_.set_capacity(machines); }
+    // While set, the cloud provisions on-demand machines only.
+    void set_spot_sold_out(bool sold_out) { cloud_.set_spot_sold_out(sold_out); }
     // Delivers an earlier heartbeat of the machine to the controller now, for the first time or
     // again.
     void deliver_heartbeat_late(int node, const Heartbeat& heartbeat) {
--- a/tests/simulation/cloud_model.cpp
+++ b/tests/simulation/cloud_model.cpp
@@ -53,7 +53,7 @@
 
 const std::vector<std::string>& CloudModel::provision(const ScaleOut& scale_out) {
     auto [entry, is_new] = machines_by_request_.try_emplace(scale_out.idempotency_key);
-    if (is_new) {
+    if (is_new && !(scale_out.spot && spot_sold_out_)) {
         for (int k = 0; k < scale_out.count && workers_.all().size() < capacity_; ++k) {
             entry->second.push_back(add_machine(scale_out));
         }
--- a/tests/simulation/cloud_model.h
+++ b/tests/simulation/cloud_model.h
@@ -26,6 +26,9 @@
     // From now on, the cloud provisions a machine only while it has fewer than this number.
     void set_capacity(std::size_t machines) { capacity_ = machines; }
 
+    // While set, the cloud provisions on-demand machines only.
+    void set_spot_sold_out(bool sold_out) { spot_sold_out_ = sold_out; }
+
     // Executes a request to the cloud. Returns status 503 while the cloud is down.
     OutboundResponse serve(const OutboundBody& request);
 
@@ -42,6 +45,7 @@
     WorkerModel& workers_;
     HeartbeatSender& heartbeats_;
     bool down_ = false;
+    bool spot_sold_out_ = false;
     std::size_t capacity_;
     // Machines by the idempotency key of their scale-out request.
     std::map<std::string, std::vector<std::string>> machines_by_request_;
