One packing for the machines requested in a round, one name for a request's pool

For each task group the planner built the packing of the machines requested in the round anew and packed every earlier group again; it now adds the machines to one packing. The pool of a request was spelled out in three places, and which pools a group may use in two: pool_of() and allows_zone_and_spot().

What is requested stays the same, but for one estimate: a group whose machines the cloud is not asked for, as the offers are avoided, no longer takes room on machines requested for a later group of the same round. The next round packs all groups on all machines, as before.

--- a/src/core/autoscaling/capacity_planner.cpp
+++ b/src/core/autoscaling/capacity_planner.cpp
@@ -61,9 +61,8 @@
 
 void CapacityPlanner::count_requested_machines(ClusterDemand& demand) const {
     for (const auto& pending : pending_) {
-        const ScaleOut& request = pending.request;
-        demand.idle[{{request.type, request.spot}, request.zone}].back() +=
-            static_cast<std::uint32_t>(request.count);
+        demand.idle[pool_of(pending.request)].back() +=
+            static_cast<std::uint32_t>(pending.request.count);
     }
 }
 
@@ -201,26 +200,21 @@
                                                  const std::vector<TaskGroup>& unplaced,
                                                  ZoneSlots& zones,
                                                  std::vector<ScaleOut>& requests) {
-    IdleMachines requested;
-    std::vector<TaskGroup> groups;
-    for (const TaskGroup& group : confirmed_unplaced_tasks(unplaced)) {
-        groups.push_back(group);
-        TaskPacking packing(types, requested);
-        std::uint32_t lacking = 0;
-        for (const TaskGroup& earlier : groups) {
-            lacking = packing.pack(earlier);
-        }
+    TaskPacking requested(types, {});
+    for (TaskGroup& group : confirmed_unplaced_tasks(unplaced)) {
+        group.tasks = requested.pack(group);
         auto tasks = [&](const InstanceType& type) {
             return static_cast<double>(tasks_per_machine(group, type));
         };
         auto in_zone = [&](const std::string& zone) { return allows_zone(group, zone); };
         std::size_t first_new = requests.size();
-        request_missing(now, types, {group.spot, static_cast<double>(lacking), tasks, in_zone},
+        request_missing(now, types, {group.spot, static_cast<double>(group.tasks), tasks, in_zone},
                         zones, requests);
         for (std::size_t i = first_new; i < requests.size(); ++i) {
-            requested[{{requests[i].type, requests[i].spot}, requests[i].zone}].back() +=
-                static_cast<std::uint32_t>(requests[i].count);
+            requested.add_machines(pool_of(requests[i]),
+                                   static_cast<std::uint32_t>(requests[i].count));
         }
+        requested.pack(group);
     }
 }
 
@@ -352,7 +346,7 @@
                                               std::vector<TaskGroup>& unplaced) {
     for (TaskGroup& group : unplaced) {
         std::uint32_t tasks = std::min(group.tasks, tasks_per_machine(group, machine.type));
-        if (tasks > 0 && (group.spot || !machine.spot) && allows_zone(group, machine.zone)) {
+        if (tasks > 0 && allows_zone_and_spot(group, pool_of(machine))) {
             group.tasks -= tasks;
             return true;
         }
--- a/src/core/autoscaling/cluster_demand.cpp
+++ b/src/core/autoscaling/cluster_demand.cpp
@@ -28,6 +28,10 @@
     return {{machine.type.name, machine.spot}, machine.zone};
 }
 
+MachinePool pool_of(const ScaleOut& request) {
+    return {{request.type, request.spot}, request.zone};
+}
+
 std::size_t idle_parts(const Machine& machine) {
     const InstanceType& type = machine.type;
     double idle = std::min(machine.free_cpus() / type.cpus, machine.free_ram() / type.ram_gb);
--- a/src/core/autoscaling/cluster_demand.h
+++ b/src/core/autoscaling/cluster_demand.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "core/machines/machine_table.h"
-#include "core/messaging/peer_messages.h"
+#include "core/messaging/messages.h"
 
 namespace scheduler {
 
@@ -31,6 +31,8 @@
 };
 
 MachinePool pool_of(const Machine& machine);
+// Returns the pool of the machines that the request is for.
+MachinePool pool_of(const ScaleOut& request);
 // Returns the number of parts, out of kIdleParts, that are idle in each of the machine's resources.
 std::size_t idle_parts(const Machine& machine);
 // Returns the slots of these parts.
--- a/src/core/autoscaling/demand_tracker.cpp
+++ b/src/core/autoscaling/demand_tracker.cpp
@@ -317,8 +317,7 @@
         if (const InstanceType* type = types_.find(provisioned.request.type)) {
             (provisioned.request.spot ? cluster_demand.spot_slots
                                       : cluster_demand.on_demand_slots) += type->slots();
-            const ScaleOut& request = provisioned.request;
-            ++cluster_demand.idle[{{request.type, request.spot}, request.zone}].back();
+            ++cluster_demand.idle[pool_of(provisioned.request)].back();
         }
     }
     return cluster_demand;
--- a/src/core/autoscaling/task_packing.cpp
+++ b/src/core/autoscaling/task_packing.cpp
@@ -24,6 +24,10 @@
     return tasks.zones.empty() || std::binary_search(tasks.zones.begin(), tasks.zones.end(), zone);
 }
 
+bool allows_zone_and_spot(const TaskGroup& tasks, const MachinePool& pool) {
+    return (tasks.spot || !pool.kind.spot) && allows_zone(tasks, pool.zone);
+}
+
 int slots_per_task(const TaskGroup& tasks, const InstanceType& type) {
     if (!allows_type(tasks, type.name)) {
         return 0;
@@ -54,12 +58,17 @@
     }
 }
 
+void TaskPacking::add_machines(const MachinePool& pool, std::uint32_t count) {
+    if (auto type = types_.find(pool.kind.type); type != types_.end()) {
+        machines_[pool][type->second.slots()] += count;
+    }
+}
+
 std::uint32_t TaskPacking::pack(const TaskGroup& tasks) {
     std::uint32_t left = tasks.tasks;
     for (bool spot : {true, false}) {
         for (auto& [pool, machines] : machines_) {
-            bool allowed =
-                pool.kind.spot == spot && (tasks.spot || !spot) && allows_zone(tasks, pool.zone);
+            bool allowed = pool.kind.spot == spot && allows_zone_and_spot(tasks, pool);
             int slots = allowed ? slots_per_task(tasks, types_.at(pool.kind.type)) : 0;
             if (slots == 0) {
                 continue;
--- a/src/core/autoscaling/task_packing.h
+++ b/src/core/autoscaling/task_packing.h
@@ -14,6 +14,10 @@
 // Returns whether the tasks may run in the zone.
 bool allows_zone(const TaskGroup& tasks, const std::string& zone);
 
+// Returns whether the tasks may run in the pool's zone and on its kind of machine, as far as spot
+// machines are concerned.
+bool allows_zone_and_spot(const TaskGroup& tasks, const MachinePool& pool);
+
 // Returns the number of slots that one of the tasks takes up on a machine of the type, or 0 if it
 // may not run there.
 int slots_per_task(const TaskGroup& tasks, const InstanceType& type);
@@ -26,6 +30,8 @@
     // Idle machines of other types are ignored.
     TaskPacking(const std::vector<InstanceType>& types, const IdleMachines& idle);
 
+    // Adds empty machines.
+    void add_machines(const MachinePool& pool, std::uint32_t count);
     // Packs as many of the tasks as fit, each onto the machine with the fewest idle slots that it
     // fits on; spot machines first, if it may run on them. Returns the number of tasks that do not
     // fit.
