Simulation: late copies of every kind of message, and a judge of attempts begun twice

A task failed on a slot that its job's leader had borrowed, was cleared by the lender, and ran on another machine when a copy of its first start arrived there, 8.0 s after that start had been carried out and answered; the worker ran it again.

The simulated network delivered every message but heartbeats at most once. Now any request that does more than read, a heartbeat, and a request of a user can arrive once more after it was carried out: 0.1 s to two worker leases later, when the next leader begins, or 0.02 to 0.3 s after the next restart (MessageCopies). A worker that takes on an attempt a second time is a fault of its own (AttemptChecker), also where no rule breaks. Workers can refuse starts for lack of room.

No behaviour changes. The random draws of the existing tests are unchanged (no draw while the share of copies is 0).

--- a/tests/concurrent_faults_test.cpp
+++ b/tests/concurrent_faults_test.cpp
@@ -291,9 +291,18 @@
     }
 }
 
+// What happens throughout a random play, besides its rounds of faults.
+struct Background {
+    bool quotas_change = false;
+    // Share of requests that arrive once more, see MessageCopies.
+    double copies = 0;
+};
+constexpr Background kQuotasChange{.quotas_change = true};
+constexpr Background kCopies{.copies = 0.3};
+
 // Plays four rounds of two to four concurrent random faults while users submit, poll and cancel
 // jobs, then reverts all faults and checks that every job finishes.
-void play_at_random(std::uint64_t seed, bool quotas_change = false) {
+void play_at_random(std::uint64_t seed, const Background& background = {}) {
     const Timing& timing = kTimings[seed % 3];
     SimulatedCluster cluster({.seed = seed,
                               .nodes = 5,
@@ -319,7 +328,7 @@
     };
     cluster.run_for(timing.lease_s + 3);
     cluster.start_polling_open_jobs();
-    if (quotas_change) {
+    if (background.quotas_change) {
         change_quotas(cluster, std::make_shared<std::mt19937_64>(seed), 300);
     }
     int jobs = 0;
@@ -337,6 +346,7 @@
         cluster.cancel(random_below(5), "req-" + std::to_string(1 + random_below(jobs)));
     };
     for (int round = 0; round < 4; ++round) {
+        cluster.random_faults.copies = background.copies;
         for (int k = 0; k < 5; ++k) {
             submit();
             cluster.run_for(2);
@@ -487,7 +497,7 @@
     }
     cluster.run_for(timing.cancel_s + 120); // until the last failovers are over
     for (const TeamQuota& quota : cluster.cluster_settings(0).teams) {
-        if (quotas_change) {
+        if (background.quotas_change) {
             cluster.configure(quota);
         }
     }
@@ -524,12 +534,23 @@
 // The same while an operator changes the quotas: usage is checked against the quota in force.
 class QuotaConfigRandom : public testing::TestWithParam<int> {};
 TEST_P(QuotaConfigRandom, InvariantsHoldAndEveryJobFinishesWhileQuotasChange) {
-    play_at_random(static_cast<std::uint64_t>(GetParam()), true);
+    play_at_random(static_cast<std::uint64_t>(GetParam()), kQuotasChange);
 }
 INSTANTIATE_TEST_SUITE_P(Seeds, QuotaConfigRandom, testing::Range(1, 7));
 
 TEST(QuotaConfigSeeds, InvariantsHoldForAllRequestedSeedsWhileQuotasChange) {
-    run_extra_seeds(1000, [](std::uint64_t seed) { play_at_random(seed, true); });
+    run_extra_seeds(1000, [](std::uint64_t seed) { play_at_random(seed, kQuotasChange); });
+}
+
+// The same while requests of every kind arrive once more after they were carried out.
+class ConcurrentFaultsWithCopies : public testing::TestWithParam<int> {};
+TEST_P(ConcurrentFaultsWithCopies, InvariantsHoldAndEveryJobFinishes) {
+    play_at_random(static_cast<std::uint64_t>(GetParam()), kCopies);
+}
+INSTANTIATE_TEST_SUITE_P(Seeds, ConcurrentFaultsWithCopies, testing::Range(1, 7));
+
+TEST(ConcurrentFaultsWithCopiesSeeds, InvariantsHoldForAllRequestedSeeds) {
+    run_extra_seeds(1000, [](std::uint64_t seed) { play_at_random(seed, kCopies); });
 }
 
 // ---- Regressions ----
--- a/tests/fault_pair_scenarios_test.cpp
+++ b/tests/fault_pair_scenarios_test.cpp
@@ -475,10 +475,12 @@
     return all;
 }
 
+// `copies`: share of requests that arrive once more during the scenario, see MessageCopies.
 void play(const Scenario& scenario, int instant, Crashed crashed, double restart_s,
-          std::uint64_t seed) {
+          std::uint64_t seed, double copies = 0) {
     LoadedCluster loaded(seed, scenario.options);
     SimulatedCluster& cluster = loaded.cluster;
+    cluster.random_faults.copies = copies;
     ASSERT_TRUE(cluster.broken.empty()) << cluster.broken.front();
     auto crash = [&] {
         if (crashed == Crashed::leader || crashed == Crashed::both) {
@@ -545,6 +547,33 @@
                              return scenarios().at(static_cast<std::size_t>(p.param)).name;
                          });
 
+// Without SCHEDULER_SEEDS each scenario is played once while requests of every kind arrive once
+// more after they were carried out; with SCHEDULER_SEEDS at each instant with all combinations.
+class FaultPairsWithCopies : public testing::TestWithParam<int> {};
+TEST_P(FaultPairsWithCopies, InvariantsHoldAndEveryJobFinishes) {
+    constexpr double kCopies = 0.3;
+    const Scenario& scenario = scenarios().at(static_cast<std::size_t>(GetParam()));
+    bool play_all = extra_seed_count() > 0;
+    for (int instant = 0; instant < 3; ++instant) {
+        for (int k = 0; k < 16; ++k) {
+            bool selected = instant == GetParam() % 3 && k == (5 * GetParam() + 2) % 16;
+            if (!play_all && !selected) {
+                continue;
+            }
+            SCOPED_TRACE(std::string(scenario.name) + " instant " + std::to_string(instant) +
+                         " crashed " + std::to_string(k / 4) + " restart after " +
+                         std::to_string(kRestartDelays_s[k % 4]));
+            play(scenario, instant, static_cast<Crashed>(k / 4), kRestartDelays_s[k % 4],
+                 101 + static_cast<std::uint64_t>(instant * 16 + k), kCopies);
+        }
+    }
+}
+INSTANTIATE_TEST_SUITE_P(All, FaultPairsWithCopies,
+                         testing::Range(0, static_cast<int>(scenarios().size())),
+                         [](const auto& p) {
+                             return scenarios().at(static_cast<std::size_t>(p.param)).name;
+                         });
+
 // ---- Lost responses of the store ----
 
 bool all_digits(const std::string& s) {
--- /dev/null
+++ b/tests/late_copies_test.cpp
@@ -0,0 +1,221 @@
+// Direct commands that were carried out and answered reach the worker once more. A worker forgets
+// an attempt with its clear, and would begin it again.
+#include <gtest/gtest.h>
+
+#include <functional>
+
+#include "core/model/partition_assignment.h"
+#include "simulated_cluster.h"
+
+namespace scheduler::test {
+namespace {
+
+constexpr int kControllers = 3;
+constexpr Time kWorkloadEnd = 60;
+
+// What happens to tasks between their start and the copy of the start command.
+struct Scenario {
+    const char* name;
+    SimulationOptions options;
+    std::function<void(SimulatedCluster&)> run;
+};
+
+SimulationOptions short_tasks() {
+    return {.nodes = kControllers, .run_s = 3, .limits = 12, .capacity = 24};
+}
+
+SimulationOptions failing_tasks() {
+    SimulationOptions options = short_tasks();
+    options.error = 0.3;
+    return options;
+}
+
+SimulationOptions long_tasks() {
+    SimulationOptions options = short_tasks();
+    options.run_s = 600;
+    return options;
+}
+
+// Submits arrays of both teams every four seconds. They run on the machines of all partitions.
+void submit_arrays(SimulatedCluster& cluster) {
+    for (int k = 0; k < 10; ++k) {
+        cluster.at(6 + 4 * k, [&cluster, k] {
+            JobSpec spec = cluster.job("req-" + std::to_string(k), 24, 1);
+            spec.team = k % 2 ? "red" : "blue";
+            cluster.submit(k % kControllers, spec);
+        });
+    }
+}
+
+void submit_services(SimulatedCluster& cluster) {
+    for (int k = 0; k < 3; ++k) {
+        cluster.at(6 + 2 * k, [&cluster, k] {
+            JobSpec spec = cluster.job("svc-" + std::to_string(k), 6, 1);
+            spec.kind = JobKind::service;
+            spec.job_class = "svc";
+            cluster.submit(k, spec);
+        });
+    }
+}
+
+void submit_gangs(SimulatedCluster& cluster) {
+    for (int k = 0; k < 8; ++k) {
+        cluster.at(6 + 5 * k, [&cluster, k] {
+            JobSpec spec = cluster.job("gang-" + std::to_string(k), 6, 2);
+            spec.kind = JobKind::gang;
+            spec.job_class = "gang";
+            cluster.submit(k % kControllers, spec);
+        });
+    }
+}
+
+void every(SimulatedCluster& cluster, double interval_s, const std::function<void(int)>& work) {
+    int count = 0;
+    for (Time time = 20; time < kWorkloadEnd; time += interval_s, ++count) {
+        cluster.at(time, [work, count] { work(count); });
+    }
+}
+
+void cancel_jobs(SimulatedCluster& cluster) {
+    every(cluster, 4,
+          [&cluster](int k) { cluster.cancel(k % kControllers, "req-" + std::to_string(k)); });
+}
+
+void preempt_machines(SimulatedCluster& cluster) {
+    every(cluster, 6, [&cluster](int k) {
+        auto machines = cluster.machines_of({"svc-" + std::to_string(k % 3), 0});
+        if (!machines.empty()) {
+            cluster.preempt_machine(*machines.begin(), 90);
+        }
+    });
+}
+
+void hang_machines(SimulatedCluster& cluster) {
+    every(cluster, 3, [&cluster](int k) {
+        auto machines = cluster.machines_up();
+        if (!machines.empty()) {
+            cluster.hang(machines[static_cast<std::size_t>(k) % machines.size()], 0.8);
+        }
+    });
+}
+
+void kill_machines(SimulatedCluster& cluster) {
+    every(cluster, 9, [&cluster](int k) {
+        auto machines = cluster.machines_of({"gang-" + std::to_string(k), 0});
+        if (!machines.empty()) {
+            cluster.kill_machine(*machines.begin());
+        }
+    });
+}
+
+void migrate_shards(SimulatedCluster& cluster) {
+    every(cluster, 3, [&cluster](int k) {
+        int from = k % kControllers;
+        auto shards = cluster.held_shards(from);
+        if (!shards.empty()) {
+            cluster.migrate_shard(from, shards.front(), (from + 1) % kControllers);
+        }
+    });
+}
+
+void restart_controllers(SimulatedCluster& cluster) {
+    every(cluster, 13, [&cluster](int) {
+        for (int controller = 0; controller < kControllers; ++controller) {
+            cluster.crash(controller, 0.2);
+        }
+    });
+}
+
+using Workload = std::function<void(SimulatedCluster&)>;
+Workload both(const Workload& first, const Workload& second) {
+    return [first, second](SimulatedCluster& cluster) {
+        first(cluster);
+        second(cluster);
+    };
+}
+
+const std::vector<Scenario>& scenarios() {
+    static const std::vector<Scenario> all{
+        {"completed", short_tasks(), submit_arrays},
+        {"failed", failing_tasks(), submit_arrays},
+        {"refused", short_tasks(),
+         both(submit_arrays,
+              [](SimulatedCluster& cluster) { cluster.random_faults.refused_starts = 0.3; })},
+        {"cancelled", long_tasks(), both(submit_arrays, cancel_jobs)},
+        // Tasks of arrays stay on the machines that the replicas leave.
+        {"moved", long_tasks(), both(submit_arrays, both(submit_services, preempt_machines))},
+        {"machine_back_within_a_second", short_tasks(), both(submit_arrays, hang_machines)},
+        {"machine_changes_hands", short_tasks(), both(submit_arrays, migrate_shards)},
+        {"all_controllers_restart", failing_tasks(), both(submit_arrays, restart_controllers)},
+        {"gang", short_tasks(), submit_gangs},
+        {"gang_member_replaced", short_tasks(), both(submit_gangs, kill_machines)},
+    };
+    return all;
+}
+
+bool starts_task(const RequestMessage& message) {
+    const auto* batch = std::get_if<WorkerCommands>(&message.request.body);
+    return batch && std::any_of(batch->commands.begin(), batch->commands.end(),
+                                [](const WorkerCommand& command) {
+                                    return command.type == CommandType::start;
+                                });
+}
+
+class LateStartCopies : public testing::TestWithParam<std::size_t> {};
+
+// A start that was carried out must not begin its attempt again, whatever became of the task.
+TEST_P(LateStartCopies, BeginNoAttemptASecondTime) {
+    const Scenario& scenario = scenarios()[GetParam()];
+    for (double after_s : {0.1, 1.0, 4.0, 8.0, 17.0, 34.0}) {
+        SCOPED_TRACE(std::to_string(after_s) + " s after the start");
+        SimulatedCluster cluster(scenario.options);
+        int copies = 0;
+        cluster.on_carried_out = [&](const RequestMessage& message) {
+            if (starts_task(message)) {
+                ++copies;
+                cluster.at(cluster.now() + after_s,
+                           [&cluster, message] { cluster.deliver_copy(message); });
+            }
+        };
+        scenario.run(cluster);
+        cluster.run_until(kWorkloadEnd + 2 * scenario.options.lease_s);
+        EXPECT_GT(copies, 0);
+        EXPECT_TRUE(cluster.broken.empty())
+            << cluster.broken.size() << " times, first: " << cluster.broken.front();
+    }
+}
+INSTANTIATE_TEST_SUITE_P(All, LateStartCopies, testing::Range(std::size_t{0}, scenarios().size()),
+                         [](const auto& at) { return scenarios()[at.param].name; });
+
+// The incident: a borrower's task failed on a lent slot, the lender cleared it, and the task was
+// started on another machine before the copy of its first start arrived.
+TEST(LateStartCopies, OfATaskClearedByTheLenderDoesNotRunItTwice) {
+    SimulatedCluster cluster({.nodes = 2, .run_s = 600, .limits = 12, .capacity = 24});
+    cluster.run_for(3);
+    cluster.submit(0, cluster.job("req-1", 30, 2));
+    int job_partition = partition_of_team(cluster.cluster_settings(0), "red");
+    std::optional<RequestMessage> first_start;
+    cluster.on_carried_out = [&](const RequestMessage& message) {
+        const auto* batch = std::get_if<WorkerCommands>(&message.request.body);
+        bool is_lent = batch && cluster.controller_of(batch->machine) != job_partition;
+        if (!first_start && is_lent && message.controller == job_partition &&
+            starts_task(message)) {
+            first_start = message;
+            cluster.random_faults.refused_starts = 0;
+        }
+    };
+    cluster.random_faults.refused_starts = 1;
+    cluster.run_for(60);
+    ASSERT_TRUE(first_start);
+    const auto& batch = std::get<WorkerCommands>(first_start->request.body);
+    const TaskId& task = batch.commands.front().task;
+    auto machines = cluster.machines_of(task);
+    ASSERT_EQ(machines.size(), 1u);
+    cluster.deliver_copy(*first_start);
+    cluster.run_for(60);
+    EXPECT_EQ(cluster.machines_of(task), machines);
+    EXPECT_TRUE(cluster.broken.empty()) << cluster.broken.front();
+}
+
+} // namespace
+} // namespace scheduler::test
--- a/tests/restart_test.cpp
+++ b/tests/restart_test.cpp
@@ -549,11 +549,13 @@
 
 // Random crashes throughout the workload. The seed selects the additional faults: none, lost and
 // late messages, outages and disconnections, or all of these.
-void play_random_crashes(std::uint64_t seed) {
+// `copies`: share of requests that arrive once more, see MessageCopies.
+void play_random_crashes(std::uint64_t seed, double copies = 0) {
     SCOPED_TRACE("seed " + std::to_string(seed));
     SimulationOptions options = sixty_machines(seed);
     options.drop = options.late = seed % 4 == 1 || seed % 4 == 3 ? 0.02 : 0;
     SimulatedCluster cluster(options);
+    cluster.random_faults.copies = copies;
     std::mt19937_64 random(seed);
     auto random_below = [&](std::size_t n) { return static_cast<std::size_t>(random() % n); };
     constexpr double kRestartDelays_s[] = {0, 0.02, 0.2, 1, 6};
@@ -604,7 +606,21 @@
 }
 INSTANTIATE_TEST_SUITE_P(Seeds, RestartRandom, testing::Range(1, 13));
 
-TEST(RestartSeeds, InvariantsHoldForAllRequestedSeeds) { run_extra_seeds(13, play_random_crashes); }
+TEST(RestartSeeds, InvariantsHoldForAllRequestedSeeds) {
+    run_extra_seeds(13, [](std::uint64_t seed) { play_random_crashes(seed); });
+}
+
+// The same while requests of every kind arrive once more after they were carried out.
+constexpr double kCopies = 0.3;
+class RestartWithCopies : public testing::TestWithParam<int> {};
+TEST_P(RestartWithCopies, InvariantsHoldAndEveryJobFinishes) {
+    play_random_crashes(static_cast<std::uint64_t>(GetParam()), kCopies);
+}
+INSTANTIATE_TEST_SUITE_P(Seeds, RestartWithCopies, testing::Range(1, 7));
+
+TEST(RestartWithCopiesSeeds, InvariantsHoldForAllRequestedSeeds) {
+    run_extra_seeds(13, [](std::uint64_t seed) { play_random_crashes(seed, kCopies); });
+}
 
 } // namespace
 } // namespace scheduler::test
--- a/tests/simulated_cluster.cpp
+++ b/tests/simulated_cluster.cpp
@@ -12,20 +12,23 @@
     : options_(std::move(options)), random_(options_.seed),
       history_checker_(options_.cancel_s, team_quotas(options_), machine_types(options_)),
       network_(controller_zones(options_), random_faults, random_),
+      copies_(options_, random_faults, clock_, random_),
       controllers_(options_, clock_, random_, network_, requests_, controller_callbacks()),
       store_(clock_, random_, network_, store_callbacks()),
       gangs_(options_, clock_, history_checker_), start_checker_(history_checker_),
-      workers_(options_, clock_, random_, history_checker_, gangs_, start_checker_,
-               worker_callbacks()),
-      heartbeats_(options_, random_faults, clock_, random_, network_, requests_, controllers_,
-                  workers_),
+      attempt_checker_(history_checker_),
+      workers_(options_, random_faults, clock_, random_, history_checker_, gangs_, start_checker_,
+               attempt_checker_, worker_callbacks()),
+      heartbeats_(options_, random_faults, clock_, random_, network_, copies_, requests_,
+                  controllers_, workers_),
       cloud_(options_, random_faults, clock_, random_, workers_, heartbeats_),
       replies_(options_, clock_, network_, controllers_),
       router_(options_, clock_, network_, requests_, replies_,
               {controllers_, workers_, cloud_, store_}),
-      transport_({options_, random_faults, clock_, random_, network_, controllers_, store_,
+      transport_({options_, random_faults, clock_, random_, network_, copies_, controllers_, store_,
                   replies_, router_}),
-      users_(options_, random_faults, clock_, random_, requests_, controllers_, history_checker_),
+      users_(options_, random_faults, clock_, random_, copies_, requests_, controllers_,
+             history_checker_),
       quotas_(options_, clock_, workers_, store_, history_checker_) {
     clock_.every(QuotaModel::kCheckS, [this] { step(); });
 }
@@ -36,6 +39,7 @@
         .answered = [this](const Response& answer) { users_.answered(answer); },
         .requested = [this](int node,
                             const OutboundRequest& request) { transport_.send(node, request); },
+        .restarted = [this] { copies_.controller_restarted(); },
     };
 }
 
@@ -45,7 +49,11 @@
             [this](const WatchRequest& request, const OutboundResponse& response) {
                 controllers_.deliver(request.controller, request.incarnation, response);
             },
-        .leadership_written = [this] { heartbeats_.deliver_kept_heartbeats(); },
+        .leadership_written =
+            [this] {
+                heartbeats_.deliver_kept_heartbeats();
+                copies_.leader_began();
+            },
     };
 }
 
--- a/tests/simulated_cluster.h
+++ b/tests/simulated_cluster.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/controller.h"
+#include "simulation/attempt_checker.h"
 #include "simulation/cloud_model.h"
 #include "simulation/cluster_setup.h"
 #include "simulation/controller_model.h"
@@ -17,6 +18,7 @@
 #include "simulation/heartbeat_sender.h"
 #include "simulation/history_checker.h"
 #include "simulation/kv_store_model.h"
+#include "simulation/message_copies.h"
 #include "simulation/network_model.h"
 #include "simulation/options.h"
 #include "simulation/pending_requests.h"
@@ -118,6 +120,8 @@
     void deliver_heartbeat_late(int node, const Heartbeat& heartbeat) {
         heartbeats_.deliver_heartbeat_late(node, heartbeat);
     }
+    // Delivers a request of a controller once more, now. Nobody waits for the response.
+    void deliver_copy(const RequestMessage& message) { transport_.deliver_copy(message); }
     Heartbeat last_sent_heartbeat(const std::string& machine) const {
         return heartbeats_.last_sent_heartbeat(machine);
     }
@@ -227,11 +231,13 @@
     RandomSource random_;
     HistoryChecker history_checker_;
     NetworkModel network_;
+    MessageCopies copies_;
     PendingRequests requests_;
     ControllerModel controllers_;
     KvStoreModel store_;
     GangModel gangs_;
     StartChecker start_checker_;
+    AttemptChecker attempt_checker_;
     WorkerModel workers_;
     HeartbeatSender heartbeats_;
     CloudModel cloud_;
@@ -249,6 +255,8 @@
     std::map<RequestId, Response>& answers = users_.answers;
     // Called for each request before it is sent. If it returns true, the request is dropped.
     std::function<bool(int node, const OutboundBody&)>& intercept = transport_.intercept;
+    // Called for each request other than a read that was carried out.
+    std::function<void(const RequestMessage&)>& on_carried_out = transport_.on_carried_out;
     // Selects transactions that are executed at once while only the response is lost.
     std::function<bool(int node, const StoreTransaction&)>& lose_response =
         transport_.lose_response;
--- a/tests/simulation/controller_model.cpp
+++ b/tests/simulation/controller_model.cpp
@@ -58,6 +58,7 @@
     clock_.after(restart_s, [this, controller, incarnation = process.incarnation] {
         if (processes_[controller]->incarnation == incarnation) {
             start(controller);
+            callbacks_.restarted();
         }
     });
 }
--- a/tests/simulation/controller_model.h
+++ b/tests/simulation/controller_model.h
@@ -27,6 +27,7 @@
         // A response to a user's request.
         std::function<void(const Response&)> answered;
         std::function<void(int controller, const OutboundRequest&)> requested;
+        std::function<void()> restarted;
     };
 
     // Starts all controllers.
--- a/tests/simulation/heartbeat_sender.cpp
+++ b/tests/simulation/heartbeat_sender.cpp
@@ -20,15 +20,18 @@
 // Share of the heartbeat interval until the next heartbeat; the rest is left for the response.
 constexpr double kHeartbeatIntervalShare = 0.9;
 constexpr double kLatestCopyLeases = 1.5;
+// Tells messages to workers that answer heartbeats apart from direct commands.
+constexpr int kNoController = -1;
 } // namespace
 
 HeartbeatSender::HeartbeatSender(const SimulationOptions& options,
                                  const RandomFaults& random_faults, EventQueue& clock,
-                                 RandomSource& random, NetworkModel& network,
+                                 RandomSource& random, NetworkModel& network, MessageCopies& copies,
                                  PendingRequests& requests, ControllerModel& controllers,
                                  WorkerModel& workers)
     : options_(options), random_faults_(random_faults), clock_(clock), random_(random),
-      network_(network), requests_(requests), controllers_(controllers), workers_(workers) {}
+      network_(network), copies_(copies), requests_(requests), controllers_(controllers),
+      workers_(workers) {}
 
 void HeartbeatSender::send(const std::string& machine) {
     if (const Worker* worker = workers_.find(machine)) {
@@ -75,6 +78,8 @@
     double delay_s = late ? network_.late_delay() : network_.delay();
     clock_.after(delay_s, [this, controller, request_id, heartbeat] {
         controllers_.input(controller, HeartbeatReceived{request_id, heartbeat});
+        copies_.carried_out(
+            [this, controller, heartbeat] { deliver_heartbeat_late(controller, heartbeat); });
     });
     if (random_.fault(random_faults_.heartbeats_for_next_leader)) {
         kept_heartbeats_.push_back(heartbeat);
@@ -121,7 +126,8 @@
         send_after(options_.report_s, in_flight.machine);
         return;
     }
-    bool higher = workers_.accept_response(in_flight.machine, response, in_flight.sent, sent_at);
+    bool higher = workers_.accept_response(in_flight.machine, response, in_flight.sent, sent_at,
+                                           {kNoController, 0, in_flight.number});
     send_after(higher ? kNewLeaderDelayS : options_.report_s * kHeartbeatIntervalShare,
                in_flight.machine);
 }
--- a/tests/simulation/heartbeat_sender.h
+++ b/tests/simulation/heartbeat_sender.h
@@ -9,6 +9,7 @@
 #include "core/messaging/messages.h"
 #include "simulation/controller_model.h"
 #include "simulation/event_queue.h"
+#include "simulation/message_copies.h"
 #include "simulation/network_model.h"
 #include "simulation/options.h"
 #include "simulation/pending_requests.h"
@@ -23,7 +24,8 @@
   public:
     HeartbeatSender(const SimulationOptions& options, const RandomFaults& random_faults,
                     EventQueue& clock, RandomSource& random, NetworkModel& network,
-                    PendingRequests& requests, ControllerModel& controllers, WorkerModel& workers);
+                    MessageCopies& copies, PendingRequests& requests, ControllerModel& controllers,
+                    WorkerModel& workers);
 
     // Sets the controller to which a new machine sends its first heartbeat.
     void connect(const std::string& machine, int controller) {
@@ -74,6 +76,7 @@
     EventQueue& clock_;
     RandomSource& random_;
     NetworkModel& network_;
+    MessageCopies& copies_;
     PendingRequests& requests_;
     ControllerModel& controllers_;
     WorkerModel& workers_;
--- a/tests/simulation/options.h
+++ b/tests/simulation/options.h
@@ -80,6 +80,10 @@
     double concurrent_status_reads = 0;
     // Jobs that their users cancel when their last task completes, or shortly after.
     double cancel_at_end = 0;
+    // Requests of any kind that arrive once more after they were carried out, see MessageCopies.
+    double copies = 0;
+    // Starts that the worker refuses for lack of room.
+    double refused_starts = 0;
 };
 
 } // namespace scheduler::test
--- a/tests/simulation/request_router.cpp
+++ b/tests/simulation/request_router.cpp
@@ -10,6 +10,10 @@
 constexpr double kRequestTimeoutS = 1.5;
 // Delay until a watch that the store does not accept fails.
 constexpr double kRefusedWatchDelayS = 3;
+
+CommandMessage command_message(const RequestMessage& message) {
+    return {message.controller, message.incarnation, message.request.id};
+}
 } // namespace
 
 bool is_store_request(const OutboundBody& request) {
@@ -40,49 +44,53 @@
     }
 }
 
-void RequestRouter::arrive(const RequestMessage& message) {
+bool RequestRouter::arrive(const RequestMessage& message) {
     const OutboundBody& body = message.request.body;
-    if (arrive_at_controller(message)) {
-        return;
+    if (auto carried_out = arrive_at_controller(message)) {
+        return *carried_out;
     }
     if (const auto* batch = std::get_if<WorkerCommands>(&body)) {
-        arrive_at_worker(message, *batch);
-    } else if (network_.isolated(message.controller)) {
+        return arrive_at_worker(message, *batch);
+    }
+    if (network_.isolated(message.controller)) {
         time_out_unless_suppressed(options_.report_s / 2, message);
-    } else if (is_store_request(body)) {
-        arrive_at_store(message);
-    } else {
-        replies_.reply(message, receivers_.cloud.serve(body));
+        return false;
+    }
+    if (is_store_request(body)) {
+        return arrive_at_store(message);
     }
+    OutboundResponse response = receivers_.cloud.serve(body);
+    replies_.reply(message, response);
+    return response.status == 200;
 }
 
-bool RequestRouter::arrive_at_controller(const RequestMessage& message) {
+std::optional<bool> RequestRouter::arrive_at_controller(const RequestMessage& message) {
     const OutboundBody& body = message.request.body;
     if (const auto* sync = std::get_if<PeerSyncCall>(&body)) {
-        send_to_peer(message, sync->node, [sync](RequestId request_id) {
+        return send_to_peer(message, sync->node, [sync](RequestId request_id) {
             return PeerSyncReceived{request_id, sync->sync};
         });
-    } else if (const auto* extension = std::get_if<LeaseExtensionCall>(&body)) {
-        send_to_peer(message, extension->node, [extension](RequestId request_id) {
+    }
+    if (const auto* extension = std::get_if<LeaseExtensionCall>(&body)) {
+        return send_to_peer(message, extension->node, [extension](RequestId request_id) {
             return LeaseExtensionReceived{request_id, extension->extension};
         });
-    } else if (const auto* cancelled = std::get_if<CancellationCall>(&body)) {
-        send_to_peer(message, cancelled->node, [cancelled](RequestId request_id) {
+    }
+    if (const auto* cancelled = std::get_if<CancellationCall>(&body)) {
+        return send_to_peer(message, cancelled->node, [cancelled](RequestId request_id) {
             return CancellationsReceived{request_id, cancelled->jobs};
         });
-    } else {
-        return false;
     }
-    return true;
+    return std::nullopt;
 }
 
 // The response may be lost as well; then the request times out.
-void RequestRouter::send_to_peer(const RequestMessage& message, const std::string& peer,
+bool RequestRouter::send_to_peer(const RequestMessage& message, const std::string& peer,
                                  const MakeInput& make_input) {
     const int to = controller_number(peer);
     replies_.time_out_after(kRequestTimeoutS, message);
     if (!receivers_.controllers.running(to) || !network_.peers_connected(message.controller, to)) {
-        return;
+        return false;
     }
     RequestId request_id = requests_.expect([this, message](const Response& peer_response, Time) {
         if (!message.response_suppressed) {
@@ -92,6 +100,7 @@
         }
     });
     receivers_.controllers.input(to, make_input(request_id));
+    return true;
 }
 
 OutboundResponse RequestRouter::peer_reply(const Response& peer_response) {
@@ -107,47 +116,56 @@
     return response;
 }
 
-void RequestRouter::arrive_at_worker(const RequestMessage& message, const WorkerCommands& batch) {
+bool RequestRouter::arrive_at_worker(const RequestMessage& message, const WorkerCommands& batch) {
     const Worker* worker = receivers_.workers.find(batch.machine);
     if (!worker || worker->dead || worker->cut || worker->cut_inbound ||
         !network_.worker_connected(message.controller, worker->zone)) {
         time_out_unless_suppressed(kRequestTimeoutS, message);
-    } else if (clock_.now() < worker->hung_until) {
+        return false;
+    }
+    if (clock_.now() < worker->hung_until) {
         arrive_at_hung_worker(message, *worker, batch);
-    } else {
-        replies_.reply(message, receivers_.workers.execute_commands(batch, message.sent_at));
+        return false;
     }
+    replies_.reply(message, receivers_.workers.execute_commands(batch, message.sent_at,
+                                                                command_message(message)));
+    return true;
 }
 
 void RequestRouter::arrive_at_hung_worker(const RequestMessage& message, const Worker& worker,
                                           const WorkerCommands& batch) {
     replies_.time_out_after(kRequestTimeoutS, message);
-    clock_.at(worker.hung_until, [this, batch, sent_at = message.sent_at] {
+    clock_.at(worker.hung_until, [this, batch, message] {
         const Worker* woken = receivers_.workers.find(batch.machine);
         if (woken && !woken->dead) {
-            receivers_.workers.execute_commands(batch, sent_at);
+            receivers_.workers.execute_commands(batch, message.sent_at, command_message(message));
         }
     });
 }
 
-void RequestRouter::arrive_at_store(const RequestMessage& message) {
+bool RequestRouter::arrive_at_store(const RequestMessage& message) {
     KvStoreModel& store = receivers_.store;
     const auto* watch = std::get_if<StoreWatch>(&message.request.body);
     if (store.silent_to(message.controller)) {
         time_out_unless_suppressed(options_.report_s / 2, message);
-    } else if (store.down() || store.refuses(message.controller)) {
+        return false;
+    }
+    if (store.down() || store.refuses(message.controller)) {
         if (watch) {
             replies_.time_out_after(kRefusedWatchDelayS, message);
-            return;
+            return false;
         }
         OutboundResponse refused;
         refused.status = 503;
         replies_.reply(message, refused);
-    } else if (watch) {
+        return false;
+    }
+    if (watch) {
         store.watch({message.controller, message.incarnation, message.request.id, *watch});
     } else {
         replies_.reply(message, store.serve(message.request.body));
     }
+    return true;
 }
 
 } // namespace scheduler::test
--- a/tests/simulation/request_router.h
+++ b/tests/simulation/request_router.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "core/messaging/messages.h"
@@ -38,23 +39,24 @@
     RequestRouter(const SimulationOptions& options, EventQueue& clock, NetworkModel& network,
                   PendingRequests& requests, ReplyChannel& replies, RequestReceivers receivers);
 
-    // Called when the request arrives at its destination.
-    void arrive(const RequestMessage& message);
+    // Called when the request arrives at its destination. Returns whether it was carried out there
+    // at once; a request that is refused or does not reach its receiver was not.
+    bool arrive(const RequestMessage& message);
     // Returns the number of tasks, pending launches and machines in all peer sync responses so far.
     double inventory_entries() const { return inventory_entries_; }
 
   private:
     using MakeInput = std::function<Input(RequestId)>;
 
-    // Returns whether the request goes to another controller.
-    bool arrive_at_controller(const RequestMessage& message);
-    void send_to_peer(const RequestMessage& message, const std::string& peer,
+    // Returns none if the request does not go to another controller.
+    std::optional<bool> arrive_at_controller(const RequestMessage& message);
+    bool send_to_peer(const RequestMessage& message, const std::string& peer,
                       const MakeInput& make_input);
     OutboundResponse peer_reply(const Response& peer_response);
-    void arrive_at_worker(const RequestMessage& message, const WorkerCommands& batch);
+    bool arrive_at_worker(const RequestMessage& message, const WorkerCommands& batch);
     void arrive_at_hung_worker(const RequestMessage& message, const Worker& worker,
                                const WorkerCommands& batch);
-    void arrive_at_store(const RequestMessage& message);
+    bool arrive_at_store(const RequestMessage& message);
     void time_out_unless_suppressed(double seconds, const RequestMessage& message);
 
     const SimulationOptions& options_;
--- a/tests/simulation/request_transport.cpp
+++ b/tests/simulation/request_transport.cpp
@@ -16,6 +16,15 @@
     return std::holds_alternative<StoreWatch>(message.request.body);
 }
 
+// Returns whether the request does more than read. A copy of a read has no effect.
+bool changes_state(const RequestMessage& message) {
+    const OutboundBody& body = message.request.body;
+    return !is_watch(message) && !std::holds_alternative<StoreGet>(body) &&
+           !std::holds_alternative<StoreRange>(body) &&
+           !std::holds_alternative<ListInstanceTypes>(body) &&
+           !std::holds_alternative<ListInstances>(body);
+}
+
 bool is_worker_command(const RequestMessage& message) {
     return std::holds_alternative<WorkerCommands>(message.request.body);
 }
@@ -41,10 +50,20 @@
     models_.clock.after(*delay_s, [this, message] {
         bool config = !is_watch(message) && is_quota_config_request(message.request.body);
         RandomSource::ConfigStream arrival_stream(models_.random, config);
-        models_.router.arrive(message);
+        if (models_.router.arrive(message) && changes_state(message)) {
+            if (on_carried_out) {
+                on_carried_out(message);
+            }
+            models_.copies.carried_out([this, message] { deliver_copy(message); });
+        }
     });
 }
 
+void RequestTransport::deliver_copy(RequestMessage message) {
+    message.response_suppressed = true;
+    models_.router.arrive(message);
+}
+
 bool RequestTransport::handled_before_sending(const RequestMessage& message) {
     if (is_worker_command(message) && !models_.replies.admit_commands(message)) {
         models_.replies.reject_unsent(message);
--- a/tests/simulation/request_transport.h
+++ b/tests/simulation/request_transport.h
@@ -11,6 +11,7 @@
 #include "simulation/controller_model.h"
 #include "simulation/event_queue.h"
 #include "simulation/kv_store_model.h"
+#include "simulation/message_copies.h"
 #include "simulation/network_model.h"
 #include "simulation/options.h"
 #include "simulation/random_source.h"
@@ -29,6 +30,7 @@
         EventQueue& clock;
         RandomSource& random;
         NetworkModel& network;
+        MessageCopies& copies;
         ControllerModel& controllers;
         KvStoreModel& store;
         ReplyChannel& replies;
@@ -39,6 +41,8 @@
 
     // Sends a request of a controller.
     void send(int controller, const OutboundRequest& request);
+    // Delivers the request once more, now. Nobody waits for the response.
+    void deliver_copy(RequestMessage message);
     // Returns the number of requests of this kind sent so far: "get", "range", "txn", "orders",
     // "peer", ...
     std::size_t count(const std::string& kind) const;
@@ -46,6 +50,8 @@
     // Called for each request before it is sent. If it returns true, the request is dropped and its
     // sender gets no response.
     std::function<bool(int controller, const OutboundBody&)> intercept;
+    // Called for each request other than a read that was carried out.
+    std::function<void(const RequestMessage&)> on_carried_out;
     // Selects transactions that are executed at once while only the response is lost.
     std::function<bool(int controller, const StoreTransaction&)> lose_response;
 
--- a/tests/simulation/user_model.cpp
+++ b/tests/simulation/user_model.cpp
@@ -14,10 +14,12 @@
 } // namespace
 
 UserModel::UserModel(const SimulationOptions& options, const RandomFaults& random_faults,
-                     EventQueue& clock, RandomSource& random, PendingRequests& requests,
-                     ControllerModel& controllers, HistoryChecker& history_checker)
+                     EventQueue& clock, RandomSource& random, MessageCopies& copies,
+                     PendingRequests& requests, ControllerModel& controllers,
+                     HistoryChecker& history_checker)
     : options_(options), random_faults_(random_faults), clock_(clock), random_(random),
-      requests_(requests), controllers_(controllers), history_checker_(history_checker) {}
+      copies_(copies), requests_(requests), controllers_(controllers),
+      history_checker_(history_checker) {}
 
 int UserModel::any_controller() {
     return static_cast<int>(random_.index(static_cast<std::size_t>(controllers_.count())));
@@ -53,6 +55,14 @@
 void UserModel::send_request(RequestId request_id, int controller, HistoryChecker::RequestKind kind,
                              const std::string& job) {
     history_checker_.asked(clock_.now(), request_id, kind, job);
+    deliver(request_id, controller, kind, job);
+    copies_.carried_out([this, controller, kind, job] {
+        deliver(requests_.expect([](const Response&, Time) {}), controller, kind, job);
+    });
+}
+
+void UserModel::deliver(RequestId request_id, int controller, HistoryChecker::RequestKind kind,
+                        const std::string& job) {
     if (kind == HistoryChecker::RequestKind::submit) {
         controllers_.input(controller, SubmitJob{request_id, history_checker_.spec(job)});
     } else if (kind == HistoryChecker::RequestKind::poll) {
--- a/tests/simulation/user_model.h
+++ b/tests/simulation/user_model.h
@@ -10,6 +10,7 @@
 #include "simulation/controller_model.h"
 #include "simulation/event_queue.h"
 #include "simulation/history_checker.h"
+#include "simulation/message_copies.h"
 #include "simulation/options.h"
 #include "simulation/pending_requests.h"
 #include "simulation/random_source.h"
@@ -20,8 +21,9 @@
 class UserModel {
   public:
     UserModel(const SimulationOptions& options, const RandomFaults& random_faults,
-              EventQueue& clock, RandomSource& random, PendingRequests& requests,
-              ControllerModel& controllers, HistoryChecker& history_checker);
+              EventQueue& clock, RandomSource& random, MessageCopies& copies,
+              PendingRequests& requests, ControllerModel& controllers,
+              HistoryChecker& history_checker);
 
     RequestId submit(int controller, const JobSpec& spec);
     RequestId poll(int controller, const std::string& job);
@@ -56,6 +58,9 @@
     // Sends status reads and repeated submissions to all controllers within milliseconds, and
     // sometimes a cancellation.
     void send_concurrent_status_reads(const std::string& job);
+    // Passes the request to the controller now, as a new one with this ID.
+    void deliver(RequestId request_id, int controller, HistoryChecker::RequestKind kind,
+                 const std::string& job);
     void poll_open_jobs();
     int any_controller();
 
@@ -63,6 +68,7 @@
     const RandomFaults& random_faults_;
     EventQueue& clock_;
     RandomSource& random_;
+    MessageCopies& copies_;
     PendingRequests& requests_;
     ControllerModel& controllers_;
     HistoryChecker& history_checker_;
--- a/tests/simulation/worker_model.cpp
+++ b/tests/simulation/worker_model.cpp
@@ -18,11 +18,13 @@
 }
 } // namespace
 
-WorkerModel::WorkerModel(const SimulationOptions& options, EventQueue& clock, RandomSource& random,
-                         HistoryChecker& history_checker, GangModel& gangs,
-                         StartChecker& start_checker, Callbacks callbacks)
-    : options_(options), clock_(clock), random_(random), history_checker_(history_checker),
-      gangs_(gangs), start_checker_(start_checker), callbacks_(std::move(callbacks)) {}
+WorkerModel::WorkerModel(const SimulationOptions& options, const RandomFaults& random_faults,
+                         EventQueue& clock, RandomSource& random, HistoryChecker& history_checker,
+                         GangModel& gangs, StartChecker& start_checker,
+                         AttemptChecker& attempt_checker, Callbacks callbacks)
+    : options_(options), random_faults_(random_faults), clock_(clock), random_(random),
+      history_checker_(history_checker), gangs_(gangs), start_checker_(start_checker),
+      attempt_checker_(attempt_checker), callbacks_(std::move(callbacks)) {}
 
 void WorkerModel::add(Worker worker) {
     std::string name = worker.name;
@@ -89,14 +91,15 @@
     return heartbeat;
 }
 
-OutboundResponse WorkerModel::execute_commands(const WorkerCommands& batch, Time sent_at) {
+OutboundResponse WorkerModel::execute_commands(const WorkerCommands& batch, Time sent_at,
+                                               CommandMessage message) {
     Worker& worker = workers_.at(batch.machine);
     OutboundResponse response;
     if (batch.fencing_token < worker.fencing_token || batch.agent_epoch != worker.agent_epoch) {
         response.status = 409;
     } else {
         worker.fencing_token = batch.fencing_token;
-        execute(worker, batch.commands, sent_at);
+        execute(worker, batch.commands, sent_at, message);
         response.status = 200;
     }
     response.heartbeat = make_heartbeat(batch.machine);
@@ -104,24 +107,23 @@
 }
 
 bool WorkerModel::accept_response(const std::string& machine, const HeartbeatBody& response,
-                                  Time heartbeat_sent_at, Time response_sent_at) {
+                                  Time heartbeat_sent_at, Time response_sent_at,
+                                  CommandMessage message) {
     Worker& worker = workers_.at(machine);
     bool higher = response.fencing_token > worker.fencing_token;
     worker.fencing_token = response.fencing_token;
     worker.lease_renewed_at = std::max(worker.lease_renewed_at, heartbeat_sent_at);
-    execute(worker, response.commands, response_sent_at);
+    execute(worker, response.commands, response_sent_at, message);
     return higher;
 }
 
-void WorkerModel::execute(Worker& worker, const std::vector<WorkerCommand>& commands,
-                          Time sent_at) {
+void WorkerModel::execute(Worker& worker, const std::vector<WorkerCommand>& commands, Time sent_at,
+                          CommandMessage message) {
     for (const auto& command : commands) {
         auto found = worker.tasks.find(command.task);
         if (command.type == CommandType::start) {
             if (found == worker.tasks.end()) {
-                worker.tasks[command.task] = {command.attempt,  TaskStage::fetching,
-                                              ExitReason::none, clock_.now() + kImageFetchS,
-                                              clock_.now(),     sent_at};
+                begin(worker, command, sent_at, message);
             } // else: the same attempt has no effect, another one is rejected as busy
         } else if (found != worker.tasks.end() && found->second.attempt == command.attempt) {
             if (command.type == CommandType::stop) {
@@ -134,6 +136,18 @@
     }
 }
 
+void WorkerModel::begin(Worker& worker, const WorkerCommand& command, Time sent_at,
+                        CommandMessage message) {
+    attempt_checker_.begun(worker.name, command.task, command.attempt, message);
+    WorkerTask& state = worker.tasks[command.task];
+    state = {command.attempt,  TaskStage::fetching,
+             ExitReason::none, clock_.now() + kImageFetchS,
+             clock_.now(),     sent_at};
+    if (random_.fault(random_faults_.refused_starts)) {
+        exit_with(state, ExitReason::insufficient_capacity);
+    }
+}
+
 void WorkerModel::stop(const WorkerCommand& command, WorkerTask& state) {
     const JobSpec& job = spec(command.task);
     if (state.stage == TaskStage::running && job.checkpoint_interval_s > 0 &&
--- a/tests/simulation/worker_model.h
+++ b/tests/simulation/worker_model.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/messaging/messages.h"
+#include "simulation/attempt_checker.h"
 #include "simulation/event_queue.h"
 #include "simulation/gang_model.h"
 #include "simulation/history_checker.h"
@@ -27,8 +28,9 @@
         std::function<void(const TaskId&)> completed;
     };
 
-    WorkerModel(const SimulationOptions& options, EventQueue& clock, RandomSource& random,
-                HistoryChecker& history_checker, GangModel& gangs, StartChecker& start_checker,
+    WorkerModel(const SimulationOptions& options, const RandomFaults& random_faults,
+                EventQueue& clock, RandomSource& random, HistoryChecker& history_checker,
+                GangModel& gangs, StartChecker& start_checker, AttemptChecker& attempt_checker,
                 Callbacks callbacks);
 
     // Machines are added, booted and removed.
@@ -58,11 +60,12 @@
     Heartbeat make_heartbeat(const std::string& machine);
     // Executes direct commands that left their controller at `sent_at`. Returns status 409 if the
     // fencing token or the agent epoch is stale.
-    OutboundResponse execute_commands(const WorkerCommands& batch, Time sent_at);
+    OutboundResponse execute_commands(const WorkerCommands& batch, Time sent_at,
+                                      CommandMessage message);
     // Handles the response, with commands, to a heartbeat. Returns whether the
     // controller's fencing token is higher than the last one.
     bool accept_response(const std::string& machine, const HeartbeatBody& response,
-                         Time heartbeat_sent_at, Time response_sent_at);
+                         Time heartbeat_sent_at, Time response_sent_at, CommandMessage message);
 
     // Advances all tasks except those of gangs to the current time.
     void step();
@@ -79,16 +82,20 @@
     bool finish_fetch(Worker& worker, const TaskId& task, WorkerTask& state);
     Time end_of_run(const TaskId& task);
     void finish_run(const TaskId& task, WorkerTask& state);
-    void execute(Worker& worker, const std::vector<WorkerCommand>& commands, Time sent_at);
+    void execute(Worker& worker, const std::vector<WorkerCommand>& commands, Time sent_at,
+                 CommandMessage message);
+    void begin(Worker& worker, const WorkerCommand& command, Time sent_at, CommandMessage message);
     void stop(const WorkerCommand& command, WorkerTask& state);
     const JobSpec& spec(const TaskId& task) const { return history_checker_.spec(task.job); }
 
     const SimulationOptions& options_;
+    const RandomFaults& random_faults_;
     EventQueue& clock_;
     RandomSource& random_;
     HistoryChecker& history_checker_;
     GangModel& gangs_;
     StartChecker& start_checker_;
+    AttemptChecker& attempt_checker_;
     Callbacks callbacks_;
     Workers workers_;
 };
