Clear a directly started task only under a higher fencing token than its start carried

Cause: a worker tells a repeated start from a new one by the attempts that it holds, and forgets an attempt with its clear, while the clear carried the token that the start had carried too. From the clear until the next raise of the token, which could be minutes later, nothing refused a copy of the start: deduplication state was dropped while duplicates could still arrive, with no fence in between.

The clear now carries a higher token in the same heartbeat response, so that the worker forgets the attempt and refuses its start from the same moment on. Each exit remembers the token that its start may have had; a start sent in a heartbeat response needs no higher token, as it is never carried out late. The owner of the machine raises it, whoever sent the start: its own tasks, lent slots, adopted tasks, gang replacements under the same attempt. A raise for clears does not close the machine: only a fence waits for the worker's confirmation (fence_sequence). While starts are on their way under the present token clears wait, within bounds. Sequences end at their last number and the machine is drained, before they would run into the term's bits.

--- a/src/core/leadership/leadership_lease.h
+++ b/src/core/leadership/leadership_lease.h
@@ -58,6 +58,7 @@
 // A fencing token has the term of the machine's shard in its upper bits and, below these, a
 // sequence number that the shard's holder increments to fence off earlier commands.
 inline constexpr int kSequenceBits = 20;
+inline constexpr std::uint64_t kMaxFencingSequence = (std::uint64_t{1} << kSequenceBits) - 1;
 inline std::uint64_t make_fencing_token(std::uint64_t term, std::uint64_t sequence) {
     return (term << kSequenceBits) | sequence;
 }
--- a/src/core/machines/machine_table.cpp
+++ b/src/core/machines/machine_table.cpp
@@ -24,6 +24,11 @@
         auto placed = machine.tasks.find(status.task);
         if (placed == machine.tasks.end() || placed->second.attempt != status.attempt) {
             machine.unexpected.push_back(status);
+            if (status.stage == TaskStage::exited) {
+                // Not known how it was started, but under no higher token than the worker had.
+                machine.exited_start_tokens.try_emplace(
+                    launch_id(status.attempt, status.task.index), heartbeat.fencing_token);
+            }
         } else {
             reported[status.task] = &status;
         }
@@ -50,6 +55,35 @@
     return false;
 }
 
+// Forgets the starts of exited tasks that the worker does not report any more.
+void drop_cleared(Machine& machine, const Heartbeat& heartbeat) {
+    if (machine.exited_start_tokens.empty()) {
+        return;
+    }
+    std::set<LaunchId> exited;
+    for (const auto& status : heartbeat.tasks) {
+        if (status.stage == TaskStage::exited) {
+            exited.insert(launch_id(status.attempt, status.task.index));
+        }
+    }
+    std::erase_if(machine.exited_start_tokens,
+                  [&](const auto& entry) { return !exited.contains(entry.first); });
+}
+
+// Raises the token; the last one of a term is kept for ever.
+void raise_token(Machine& machine) {
+    machine.fencing_sequence = std::min(machine.fencing_sequence + 1, kMaxFencingSequence);
+}
+
+// Returns whether a start under the present token may be on its way to the worker.
+bool start_in_flight(const Machine& machine) {
+    return machine.command_in_flight != 0 ||
+           std::any_of(machine.lent_slots.begin(), machine.lent_slots.end(),
+                       [&](const auto& entry) {
+                           return entry.second.fencing_token == machine.fencing_token();
+                       });
+}
+
 void update_reported(Time now, Placement& placement, TaskStage stage) {
     if (stage == TaskStage::running && placement.stage != TaskStage::running) {
         placement.running_since = now;
@@ -69,6 +103,8 @@
         const TaskStatus* status = seen == reported.end() ? nullptr : seen->second;
         bool exited = status && status->stage == TaskStage::exited;
         if (exited) {
+            machine.exited_start_tokens[launch_id(status->attempt, it->first.index)] =
+                placement.fencing_token;
             result.removed.push_back({it->first, placement, status->exit_reason});
             machine.finished.push_back(*status);
             it = machine.tasks.erase(it);
@@ -162,6 +198,11 @@
            std::any_of(unexpected.begin(), unexpected.end(), same);
 }
 
+bool Machine::may_clear(const TaskStatus& exited) const {
+    auto start = exited_start_tokens.find(launch_id(exited.attempt, exited.task.index));
+    return start == exited_start_tokens.end() || start->second < fencing_token();
+}
+
 void Machine::touch_image(const std::string& image, double gb) {
     if (std::erase_if(images, [&](const CachedImage& cached) { return cached.name == image; }) ==
         0) {
@@ -258,6 +299,7 @@
         }
     }
     machine.lent_slots.clear(); // their launches name the previous epoch and will be refused
+    machine.exited_start_tokens.clear();
     machine.agent_epoch = agent_epoch;
     // The worker's lease starts with the epoch. This holds as well if the epoch is learned from the
     // response to a direct command, which does not renew the lease otherwise.
@@ -269,7 +311,7 @@
 void MachineTable::apply_newer(Machine& machine, const Heartbeat& heartbeat) {
     machine.heartbeat_sequence = heartbeat.sequence;
     set_reported(machine, true);
-    machine.fenced = heartbeat.fencing_token >= machine.fencing_token();
+    machine.fenced = heartbeat.fencing_token >= machine.fence_token();
     machine.preemption_notice_s = heartbeat.preemption_notice_s;
     machine.unexpected.clear();
     machine.finished.clear();
@@ -290,6 +332,7 @@
     ReportedTasks reported;
     if (result.is_newer) {
         apply_newer(machine, heartbeat);
+        drop_cleared(machine, heartbeat);
         reported = match_tasks(machine, heartbeat);
         // The worker refuses launches under older tokens from now on.
         std::erase_if(machine.lent_slots, [&](const auto& lent) {
@@ -304,6 +347,7 @@
                          Placement placement) {
     placement.attempt = status.attempt;
     placement.launch_state = Placement::LaunchState::reported;
+    placement.fencing_token = machine.fencing_token(); // not known: no start had a higher one
     placement.stage = status.stage;
     placement.since = now;
     placement.running_since = now;
@@ -315,10 +359,31 @@
 }
 
 void MachineTable::fence(Machine& machine) {
-    ++machine.fencing_sequence;
+    raise_token(machine);
+    machine.fence_sequence = machine.fencing_sequence;
     machine.fenced = false;
 }
 
+void MachineTable::raise_token_for_clears(Time now, Machine& machine,
+                                          const std::vector<TaskStatus>& exited,
+                                          double max_hold_s) {
+    if (std::all_of(exited.begin(), exited.end(),
+                    [&](const TaskStatus& status) { return machine.may_clear(status); })) {
+        machine.clears_held_since.reset();
+        return;
+    }
+    if (!machine.clears_held_since) {
+        machine.clears_held_since = now;
+    }
+    bool may_hold = now - *machine.clears_held_since < max_hold_s &&
+                    static_cast<double>(exited.size()) < machine.type.cpus;
+    if (may_hold && start_in_flight(machine)) {
+        return;
+    }
+    machine.clears_held_since.reset();
+    raise_token(machine);
+}
+
 void MachineTable::on_lease_renewed(Time now, Machine& machine) {
     machine.lease_expires_at = std::max(machine.lease_expires_at, now + max_lease_s());
 }
@@ -333,6 +398,7 @@
     machine.outbox.clear();
     machine.unexpected.clear();
     machine.finished.clear();
+    machine.exited_start_tokens.clear();
     set_reported(machine, false);
     machine.fenced = false;
     machine.expired_epoch = std::max(machine.expired_epoch, machine.agent_epoch);
--- a/src/core/machines/machine_table.h
+++ b/src/core/machines/machine_table.h
@@ -25,7 +25,9 @@
     };
     std::uint64_t attempt = 0;
     LaunchState launch_state = LaunchState::queued;
-    std::uint64_t fencing_token = 0;       // direct_command: the token it was sent under
+    // The token that the start was, or may have been, sent under directly; 0: it was sent in a
+    // heartbeat response only.
+    std::uint64_t fencing_token = 0;
     std::uint64_t heartbeat_sequence = 0;  // heartbeat_response: the heartbeat responded to
     OutboundRequestId command_request = 0; // direct_command: the request that contains it
     TaskStage stage = TaskStage::fetching;
@@ -75,11 +77,12 @@
     std::uint64_t term = 0; // the shard's, which the machine's fencing tokens include
 
     bool reporting = false; // has sent a heartbeat in an agent epoch that has not expired
-    bool fenced = false;    // the worker has confirmed this leader's newest fencing token
+    bool fenced = false; // the worker has confirmed the token of the latest fence, or a higher one
     std::uint64_t agent_epoch = 0;
     std::uint64_t heartbeat_sequence = 0;
-    std::uint64_t expired_epoch = 0; // the leases of epochs up to this one have expired
-    std::uint64_t fencing_sequence = 0;
+    std::uint64_t expired_epoch = 0;    // the leases of epochs up to this one have expired
+    std::uint64_t fencing_sequence = 0; // of the newest token
+    std::uint64_t fence_sequence = 0;   // of the token of the latest fence
     Time last_heartbeat = 0;
     Time known_since = 0;
     double age_when_added_s = 0; // its age at `known_since`, as listed by the cloud provider
@@ -103,8 +106,11 @@
     std::vector<WorkerCommand> outbox;
     std::vector<TaskStatus> unexpected; // reported, but not placed: to be stopped and cleared
     std::vector<TaskStatus> finished;   // exited, to be cleared once that is durable
-    std::vector<CachedImage> images;    // most recently used last
-    std::uint64_t images_version = 0;   // changes with the set of images
+    // For each reported exit, the highest token that its start may have been sent under directly.
+    std::map<LaunchId, std::uint64_t> exited_start_tokens;
+    std::optional<Time> clears_held_since; // see MachineTable::raise_token_for_clears
+    std::vector<CachedImage> images;       // most recently used last
+    std::uint64_t images_version = 0;      // changes with the set of images
     // Commands of other partitions' leaders for their tasks here (remote tasks).
     std::map<LaunchId, double> remote_stops; // with the grace time in seconds
     std::set<LaunchId> remote_clears;        // exits that are durable
@@ -112,6 +118,14 @@
     std::uint64_t remote_tasks_version = 0;  // of that inventory
 
     std::uint64_t fencing_token() const { return make_fencing_token(term, fencing_sequence); }
+    std::uint64_t fence_token() const { return make_fencing_token(term, fence_sequence); }
+    // Returns whether the term has no higher token. No start may be sent directly under the last
+    // token, so that it always proves an unanswered start void.
+    bool fencing_exhausted() const { return fencing_sequence == kMaxFencingSequence; }
+    // Returns whether the exited task may be cleared under the newest token. The worker forgets a
+    // cleared attempt and would begin it again on a late copy of its start, so the clear has to
+    // carry a higher token than the start did.
+    bool may_clear(const TaskStatus& exited) const;
     double free_cpus() const;
     double free_gpus() const;
     double free_ram() const;
@@ -174,11 +188,18 @@
     // heartbeat that the worker sent by itself.
     HeartbeatResult apply_heartbeat(Time now, Machine& machine, const Heartbeat& heartbeat,
                                     OutboundRequestId request);
-    // Places a reported task that an earlier leader launched.
+    // Places a reported task that an earlier leader, or a borrower, launched.
     static void adopt(Time now, Machine& machine, const TaskStatus& status, Placement placement);
-    // Raises the fencing token. Until the higher token reaches the worker, direct commands without
-    // a response may still be executed.
-    void fence(Machine& machine);
+    // Raises the fencing token, and waits for the worker to confirm it. Until the higher token
+    // reaches the worker, direct commands without a response may still be executed.
+    static void fence(Machine& machine);
+    // Raises the fencing token without waiting, if one of the exited tasks, which are due to be
+    // cleared, cannot be cleared under the present one. To be called before the token and the
+    // clears are sent in a heartbeat response. While starts under the present token are on their
+    // way, which the worker would refuse under a higher one, the clears are held for up to
+    // `max_hold_s`, or until there are as many as the machine has CPUs.
+    static void raise_token_for_clears(Time now, Machine& machine,
+                                       const std::vector<TaskStatus>& exited, double max_hold_s);
     // To be called when a heartbeat is responded to with 200, which may renew the worker's lease.
     void on_lease_renewed(Time now, Machine& machine);
     // Ends the machine's agent epoch, whose lease has expired by any clock. Removes and returns the
--- a/src/core/partition_leader.cpp
+++ b/src/core/partition_leader.cpp
@@ -11,6 +11,9 @@
 namespace {
 // Keeps a heartbeat response well below its limit of 64 KiB.
 constexpr std::size_t kMaxCommandsPerResponse = 200;
+// Clears wait for at most this many heartbeat intervals for starts that are on their way. A slot
+// whose start takes longer is fenced anyway.
+constexpr double kMaxClearHoldHeartbeats = 1.5;
 } // namespace
 
 PartitionLeader::PartitionLeader(Time now, int partition, const ClusterSettings& settings,
@@ -107,7 +110,7 @@
     // the tasks of cancelled jobs running.
     HeartbeatBody response;
     if (staleness_.is_fresh(now)) {
-        response = heartbeat_response(*machine, heartbeat, is_newest);
+        response = heartbeat_response(now, *machine, heartbeat, is_newest);
     }
     machines_.on_lease_renewed(now, *machine);
     requests_.respond(request_id, 200, std::move(response));
@@ -170,12 +173,11 @@
 
 // Returns the response with the machine's fencing token and commands. `is_newest`: no newer
 // heartbeat of the machine has been received.
-HeartbeatBody PartitionLeader::heartbeat_response(Machine& machine, const Heartbeat& heartbeat,
-                                                  bool is_newest) {
+HeartbeatBody PartitionLeader::heartbeat_response(Time now, Machine& machine,
+                                                  const Heartbeat& heartbeat, bool is_newest) {
     HeartbeatBody response;
-    response.fencing_token = machine.fencing_token();
     if (is_newest && machine.fenced && failover_.loaded()) {
-        add_corrective_commands(machine, response.commands);
+        add_corrective_commands(now, machine, response.commands);
     } else {
         add_cancellation_stops(heartbeat, response.commands);
     }
@@ -183,6 +185,7 @@
         auto queued = machines_.take_commands_for_response(machine);
         response.commands.insert(response.commands.end(), queued.begin(), queued.end());
     }
+    response.fencing_token = machine.fencing_token();
     return response;
 }
 
@@ -203,14 +206,17 @@
         }
     }
     gang_scheduler_.on_machine_inventory(now, machine);
-    if (machine.preemption_notice_s || machine.consecutive_errors >= policy_.quarantine_errors) {
+    if (machine.preemption_notice_s || machine.fencing_exhausted() ||
+        machine.consecutive_errors >= policy_.quarantine_errors) {
         for (const auto& removed : machines_.cancel_queued_starts(machine)) {
             on_task_removed(now, machine.name, removed);
         }
         if (!machine.draining) {
             requests_.log(LogLevel::info,
                           "event=machine_cordoned machine=" + machine.name +
-                              (machine.preemption_notice_s ? " reason=notice" : " reason=errors"));
+                              (machine.preemption_notice_s   ? " reason=notice"
+                               : machine.fencing_exhausted() ? " reason=fencing_tokens"
+                                                             : " reason=errors"));
         }
         machine.draining = true;
     }
@@ -369,16 +375,14 @@
 // Adds clears and stops for tasks that should not be on the machine. Requires that all jobs are
 // loaded and the machine is fenced; otherwise such a task could be a valid one. Clears and stops
 // are idempotent.
-void PartitionLeader::add_corrective_commands(Machine& machine, std::vector<WorkerCommand>& out) {
+void PartitionLeader::add_corrective_commands(Time now, Machine& machine,
+                                              std::vector<WorkerCommand>& out) {
     machine.drop_obsolete_remote_commands();
-    add_clears(machine, out);
+    add_clears(now, machine, out);
     for (const auto& status : machine.unexpected) {
-        if (out.size() >= kMaxCommandsPerResponse) {
-            break;
+        if (status.stage != TaskStage::exited && out.size() < kMaxCommandsPerResponse) {
+            out.push_back({CommandType::stop, status.task, status.attempt, 0});
         }
-        bool exited = status.stage == TaskStage::exited;
-        out.push_back(
-            {exited ? CommandType::clear : CommandType::stop, status.task, status.attempt, 0});
     }
     for (const auto& [task, placement] : machine.tasks) {
         std::optional<double> grace_s = stop_grace_s(machine, task, placement);
@@ -389,18 +393,41 @@
     }
 }
 
-// Adds clears for the exited tasks whose exit is durable, as recorded here or, for remote tasks, by
-// the leader that placed them.
-void PartitionLeader::add_clears(const Machine& machine, std::vector<WorkerCommand>& out) {
+// Adds clears for the exited tasks that the worker may forget. May raise the fencing token, under
+// which they are to be sent.
+void PartitionLeader::add_clears(Time now, Machine& machine, std::vector<WorkerCommand>& out) {
+    std::vector<TaskStatus> exited = clearable_exits(machine);
+    MachineTable::raise_token_for_clears(now, machine, exited,
+                                         kMaxClearHoldHeartbeats * settings_.heartbeat_interval_s);
+    if (machine.fencing_exhausted()) {
+        update_slot_lists(machine);
+    }
+    for (const auto& status : exited) {
+        if (machine.may_clear(status) && out.size() < kMaxCommandsPerResponse) {
+            out.push_back({CommandType::clear, status.task, status.attempt, 0});
+        }
+    }
+}
+
+// Returns the exited tasks whose exit is durable, as recorded here or, for remote tasks, by the
+// leader that placed them, and those that nobody waits for.
+std::vector<TaskStatus> PartitionLeader::clearable_exits(const Machine& machine) {
+    std::vector<TaskStatus> exited;
     for (const auto& status : machine.finished) {
         bool remote = !leadership_.is_own_attempt(status.attempt);
         bool durable =
             remote ? machine.remote_clears.contains(launch_id(status.attempt, status.task.index))
                    : is_exit_durable(status);
-        if (durable && out.size() < kMaxCommandsPerResponse) {
-            out.push_back({CommandType::clear, status.task, status.attempt, 0});
+        if (durable) {
+            exited.push_back(status);
+        }
+    }
+    for (const auto& status : machine.unexpected) {
+        if (status.stage == TaskStage::exited) {
+            exited.push_back(status);
         }
     }
+    return exited;
 }
 
 // Returns the grace time for the task to save its work, in seconds, or nullopt if the task is not
--- a/src/core/partition_leader.h
+++ b/src/core/partition_leader.h
@@ -104,7 +104,8 @@
     // Machines and what is placed on them.
     Machine* admit_heartbeat(Time now, RequestId request_id, const Heartbeat& heartbeat);
     void update_machine(Time now, Machine& machine, const Heartbeat& heartbeat);
-    HeartbeatBody heartbeat_response(Machine& machine, const Heartbeat& heartbeat, bool is_newest);
+    HeartbeatBody heartbeat_response(Time now, Machine& machine, const Heartbeat& heartbeat,
+                                     bool is_newest);
     void apply_heartbeat(Time now, Machine& machine, const Heartbeat& heartbeat,
                          OutboundRequestId command_request) override;
     void on_task_removed(Time now, const std::string& name,
@@ -113,8 +114,9 @@
     void adopt_reported(Time now, Machine& machine);
     void adopt_own(Time now, Machine& machine, const TaskStatus& status);
     void add_cancellation_stops(const Heartbeat& heartbeat, std::vector<WorkerCommand>& out) const;
-    void add_corrective_commands(Machine& machine, std::vector<WorkerCommand>& out);
-    void add_clears(const Machine& machine, std::vector<WorkerCommand>& out);
+    void add_corrective_commands(Time now, Machine& machine, std::vector<WorkerCommand>& out);
+    void add_clears(Time now, Machine& machine, std::vector<WorkerCommand>& out);
+    std::vector<TaskStatus> clearable_exits(const Machine& machine);
     std::optional<double> stop_grace_s(const Machine& machine, const TaskId& task,
                                        const Placement& placement);
     void send_commands(Time now) override;
--- a/src/core/scheduling/slot_finder.cpp
+++ b/src/core/scheduling/slot_finder.cpp
@@ -13,8 +13,8 @@
 bool SlotFinder::is_schedulable(const Machine& machine) const {
     return machine.reporting && machine.fenced && machine.registered &&
            owned_shards_.may_lend(machine.shard) && !machine.draining && !machine.cordoned &&
-           !machine.releasing && !machine.preemption_notice_s && !machine.runs_unexpected_tasks() &&
-           !machine.has_unknown_resources() &&
+           !machine.releasing && !machine.preemption_notice_s && !machine.fencing_exhausted() &&
+           !machine.runs_unexpected_tasks() && !machine.has_unknown_resources() &&
            machine.consecutive_errors < policy_.quarantine_errors;
 }
 
--- a/src/core/stealing/slot_lender.cpp
+++ b/src/core/stealing/slot_lender.cpp
@@ -431,10 +431,10 @@
     --borrower_state.slots_left;
 }
 
-// Returns whether the machine has a slot that was lent under its current fencing token and either
-// has no reported launch in time or was lent to an earlier leader of the borrowing partition.
-// Raising the token ensures that the launch never takes effect; the next heartbeat under the new
-// token frees the slot.
+// Returns whether the machine has a slot that was lent since its latest fence and either has no
+// reported launch in time or was lent to an earlier leader of the borrowing partition. Raising the
+// token ensures that the launch never takes effect; the next heartbeat under the new token frees
+// the slot.
 bool SlotLender::must_fence(Time now, const Machine& machine) const {
     double max_age_s = kLaunchTimeoutHeartbeats * settings_.heartbeat_interval_s;
     return std::any_of(machine.lent_slots.begin(), machine.lent_slots.end(),
@@ -442,7 +442,7 @@
                            const LentSlot& lent = entry.second;
                            bool is_stale = lent.borrower_term < borrowers_.at(lent.borrower).term;
                            return (now - lent.since > max_age_s || is_stale) &&
-                                  lent.fencing_token == machine.fencing_token();
+                                  lent.fencing_token >= machine.fence_token();
                        });
 }
 
