Log tasks that a worker runs unexpectedly, with the commands that led to it

A partition leader keeps its latest 16,384 commands to workers in a ring (CommandTrace), and writes out those about a task when a worker reports it running where it is not placed. partition_sampled tells how many tokens were raised for clears and how many direct commands workers refused.

Tests: CommandTrace, and LateStartCopies.AtAWorkerThatLostItsTokenAreLoggedAndStopped: a worker that has lost its token is the case that no controller can prevent; its task is stopped with the next heartbeat. A scenario more: machines and controllers back within a second.

--- a/src/core/machines/machine_table.cpp
+++ b/src/core/machines/machine_table.cpp
@@ -364,13 +364,13 @@
     machine.fenced = false;
 }
 
-void MachineTable::raise_token_for_clears(Time now, Machine& machine,
+bool MachineTable::raise_token_for_clears(Time now, Machine& machine,
                                           const std::vector<TaskStatus>& exited,
                                           double max_hold_s) {
     if (std::all_of(exited.begin(), exited.end(),
                     [&](const TaskStatus& status) { return machine.may_clear(status); })) {
         machine.clears_held_since.reset();
-        return;
+        return false;
     }
     if (!machine.clears_held_since) {
         machine.clears_held_since = now;
@@ -378,10 +378,11 @@
     bool may_hold = now - *machine.clears_held_since < max_hold_s &&
                     static_cast<double>(exited.size()) < machine.type.cpus;
     if (may_hold && start_in_flight(machine)) {
-        return;
+        return false;
     }
     machine.clears_held_since.reset();
     raise_token(machine);
+    return true;
 }
 
 void MachineTable::on_lease_renewed(Time now, Machine& machine) {
--- a/src/core/machines/machine_table.h
+++ b/src/core/machines/machine_table.h
@@ -197,8 +197,9 @@
     // cleared, cannot be cleared under the present one. To be called before the token and the
     // clears are sent in a heartbeat response. While starts under the present token are on their
     // way, which the worker would refuse under a higher one, the clears are held for up to
-    // `max_hold_s`, or until there are as many as the machine has CPUs.
-    static void raise_token_for_clears(Time now, Machine& machine,
+    // `max_hold_s`, or until there are as many as the machine has CPUs. Returns whether the token
+    // was raised.
+    static bool raise_token_for_clears(Time now, Machine& machine,
                                        const std::vector<TaskStatus>& exited, double max_hold_s);
     // To be called when a heartbeat is responded to with 200, which may renew the worker's lease.
     void on_lease_renewed(Time now, Machine& machine);
--- a/src/core/partition_leader.cpp
+++ b/src/core/partition_leader.cpp
@@ -14,6 +14,8 @@
 // Clears wait for at most this many heartbeat intervals for starts that are on their way. A slot
 // whose start takes longer is fenced anyway.
 constexpr double kMaxClearHoldHeartbeats = 1.5;
+constexpr std::size_t kTracedCommands = 16384;
+constexpr std::size_t kMaxExplainedLaunches = 1000;
 } // namespace
 
 PartitionLeader::PartitionLeader(Time now, int partition, const ClusterSettings& settings,
@@ -57,7 +59,7 @@
       job_persistence_(leadership_, settings_, jobs_, job_cache_, requests_, *this),
       quota_evictor_(leadership_, settings_, own_teams_, jobs_, machines_, quotas_, gangs_,
                      borrower_, requests_, *this),
-      staleness_(settings_),
+      command_trace_(kTracedCommands), staleness_(settings_),
       failover_({leadership_, settings_, all_shards_, own_teams_, owned_shards_, instance_types_},
                 {job_cache_, jobs_, machines_, quotas_, registry_, queue_, demand_, reconciliation_,
                  lender_, borrower_, staleness_},
@@ -186,6 +188,7 @@
         response.commands.insert(response.commands.end(), queued.begin(), queued.end());
     }
     response.fencing_token = machine.fencing_token();
+    trace_commands(now, machine, response.commands, false);
     return response;
 }
 
@@ -200,6 +203,7 @@
     }
     if (result.is_newer) {
         adopt_reported(now, machine);
+        log_unexpected_tasks(machine);
         // Resolves the launches on borrowed slots that the inventory does not include.
         if (machine.fenced && failover_.loaded()) {
             borrower_.on_inventory_complete(now, machine.name);
@@ -397,8 +401,9 @@
 // which they are to be sent.
 void PartitionLeader::add_clears(Time now, Machine& machine, std::vector<WorkerCommand>& out) {
     std::vector<TaskStatus> exited = clearable_exits(machine);
-    MachineTable::raise_token_for_clears(now, machine, exited,
-                                         kMaxClearHoldHeartbeats * settings_.heartbeat_interval_s);
+    bool raised = MachineTable::raise_token_for_clears(
+        now, machine, exited, kMaxClearHoldHeartbeats * settings_.heartbeat_interval_s);
+    token_raises_ += raised ? 1 : 0;
     if (machine.fencing_exhausted()) {
         update_slot_lists(machine);
     }
@@ -482,6 +487,7 @@
                 machine->command_in_flight = 0;
                 if (response.heartbeat && response.heartbeat->machine == name &&
                     (response.status == 200 || response.status == 409)) {
+                    commands_refused_ += response.status == 409 ? 1 : 0;
                     apply_heartbeat(at, *machine, *response.heartbeat, response.request_id);
                 } else {
                     machines_.fence(*machine);
@@ -492,6 +498,42 @@
                 send_commands(at);
             });
         machines_.on_commands_sent(*sendable, commands, request_id);
+        trace_commands(now, *sendable, commands, true);
+    }
+}
+
+void PartitionLeader::trace_commands(Time now, const Machine& machine,
+                                     const std::vector<WorkerCommand>& commands, bool directly) {
+    for (const auto& command : commands) {
+        command_trace_.record(
+            {now, machine.name, machine.agent_epoch, machine.fencing_token(), directly, command});
+    }
+}
+
+// Logs tasks that run although they are not placed there, and the commands that were sent from here
+// about them: one of these may have arrived late or twice.
+void PartitionLeader::log_unexpected_tasks(const Machine& machine) {
+    if (!failover_.loaded() || !machine.fenced) {
+        return;
+    }
+    for (const auto& status : machine.unexpected) {
+        LaunchId launch = launch_id(status.attempt, status.task.index);
+        if (status.stage == TaskStage::exited || explained_launches_.contains(launch)) {
+            continue;
+        }
+        if (explained_launches_.size() >= kMaxExplainedLaunches) {
+            explained_launches_.clear();
+        }
+        explained_launches_.insert(launch);
+        requests_.log(LogLevel::info, "event=unexpected_task_reported task=" + status.task.job +
+                                          "/" + std::to_string(status.task.index) +
+                                          " attempt=" + std::to_string(status.attempt) +
+                                          " machine=" + machine.name +
+                                          " agent_epoch=" + std::to_string(machine.agent_epoch) +
+                                          " token=" + std::to_string(machine.fencing_token()));
+        for (const auto& line : command_trace_.describe(status.task)) {
+            requests_.log(LogLevel::info, "event=command_was_sent " + line);
+        }
     }
 }
 
@@ -811,7 +853,9 @@
                       " running=" + count(running) + " fetching=" + count(fetching) +
                       " gathering=" + count(gathering) + " sent=" + count(sent) +
                       " idle=" + count(idle) + " closed=" + count(closed) + " jobs=" +
-                      std::to_string(jobs_.all().size()) + " waiting=" + std::to_string(waiting));
+                      std::to_string(jobs_.all().size()) + " waiting=" + std::to_string(waiting) +
+                      " token_raises=" + std::to_string(std::exchange(token_raises_, 0)) +
+                      " commands_refused=" + std::to_string(std::exchange(commands_refused_, 0)));
     if (autoscaler_.is_provisioner()) {
         ClusterDemand cluster = demand_.cluster_demand(now);
         requests_.log(
--- a/src/core/partition_leader.h
+++ b/src/core/partition_leader.h
@@ -13,6 +13,7 @@
 #include "core/autoscaling/autoscaler.h"
 #include "core/jobs/job_persistence.h"
 #include "core/leadership/staleness_bound.h"
+#include "core/machines/command_trace.h"
 #include "core/partition_tables.h"
 #include "core/quotas/quota_config.h"
 #include "core/recovery/failover.h"
@@ -120,6 +121,9 @@
     std::optional<double> stop_grace_s(const Machine& machine, const TaskId& task,
                                        const Placement& placement);
     void send_commands(Time now) override;
+    void trace_commands(Time now, const Machine& machine,
+                        const std::vector<WorkerCommand>& commands, bool directly);
+    void log_unexpected_tasks(const Machine& machine);
     void expire_leases(Time now);
     void log_stats(Time now);
 
@@ -201,6 +205,12 @@
     JobPersistence job_persistence_;
     QuotaEvictor quota_evictor_;
     int commands_in_flight_ = 0; // direct commands without a response yet
+    CommandTrace command_trace_;
+    std::set<LaunchId> explained_launches_; // unexpected ones that were logged
+    // Since the last statistics were logged: tokens raised for clears, and direct commands that
+    // workers refused.
+    std::uint64_t token_raises_ = 0;
+    std::uint64_t commands_refused_ = 0;
     mutable std::uint64_t effort_ = 0;
     StalenessBound staleness_;
     Failover failover_;
--- a/tests/late_copies_test.cpp
+++ b/tests/late_copies_test.cpp
@@ -147,6 +147,8 @@
         {"machine_back_within_a_second", short_tasks(), both(submit_arrays, hang_machines)},
         {"machine_changes_hands", short_tasks(), both(submit_arrays, migrate_shards)},
         {"all_controllers_restart", failing_tasks(), both(submit_arrays, restart_controllers)},
+        {"machines_and_controllers_back_within_a_second", failing_tasks(),
+         both(submit_arrays, both(hang_machines, restart_controllers))},
         {"gang", short_tasks(), submit_gangs},
         {"gang_member_replaced", short_tasks(), both(submit_gangs, kill_machines)},
     };
@@ -217,5 +219,44 @@
     EXPECT_TRUE(cluster.broken.empty()) << cluster.broken.front();
 }
 
+// Against a worker that loses its token no controller can help: "Each worker stores the highest
+// token it has seen" (protocol). What is left is to stop the task with the next heartbeat, and to
+// say so.
+TEST(LateStartCopies, AtAWorkerThatLostItsTokenAreLoggedAndStopped) {
+    SimulatedCluster cluster({.nodes = 1, .run_s = 3, .limits = 12, .capacity = 4});
+    cluster.run_for(3);
+    std::optional<RequestMessage> start;
+    cluster.on_carried_out = [&](const RequestMessage& message) {
+        if (!start && starts_task(message)) {
+            start = message;
+        }
+    };
+    std::vector<std::string> explanation;
+    cluster.on_log = [&](Time, int, const std::string& line) {
+        if (line.starts_with("event=command_was_sent ")) {
+            explanation.push_back(line);
+        }
+    };
+    JobSpec service = cluster.job("svc-1", 1, 1); // keeps the machine
+    service.kind = JobKind::service;
+    cluster.submit(0, service);
+    cluster.run_for(20);
+    cluster.submit(0, cluster.job("req-1", 4, 1));
+    cluster.run_for(20);
+    ASSERT_TRUE(start);
+    ASSERT_TRUE(cluster.all_done("req-1"));
+    EXPECT_EQ(cluster.log_count("event=unexpected_task_reported"), 0u);
+    const auto& batch = std::get<WorkerCommands>(start->request.body);
+    cluster.forget_token(batch.machine);
+    cluster.deliver_copy(*start);
+    EXPECT_FALSE(cluster.broken.empty()) << "the protocol leaves this to the worker";
+    cluster.run_for(2 * cluster.cluster_settings(0).heartbeat_interval_s);
+    EXPECT_TRUE(cluster.machines_of(batch.commands.front().task).empty());
+    EXPECT_GE(cluster.log_count("event=unexpected_task_reported"), 1u);
+    ASSERT_GE(explanation.size(), 2u);
+    EXPECT_NE(explanation[0].find("command=start"), std::string::npos) << explanation[0];
+    EXPECT_NE(explanation[1].find("command=clear"), std::string::npos) << explanation[1];
+}
+
 } // namespace
 } // namespace scheduler::test
--- a/tests/machine_table_test.cpp
+++ b/tests/machine_table_test.cpp
@@ -2,6 +2,7 @@
 // tokens it sends commands.
 #include <gtest/gtest.h>
 
+#include "core/machines/command_trace.h"
 #include "core/machines/machine_table.h"
 
 namespace scheduler::test {
@@ -193,5 +194,26 @@
     EXPECT_TRUE(machine.fenced);
 }
 
+TEST(CommandTrace, DescribesTheLatestCommandsAboutATaskInOrder) {
+    CommandTrace trace(3);
+    TaskId task{"req-1", 4};
+    for (std::uint64_t attempt = 1; attempt <= 4; ++attempt) {
+        TaskId other{"req-2", 0};
+        trace.record({static_cast<Time>(attempt),
+                      "i-1",
+                      2,
+                      make_fencing_token(kTerm, attempt),
+                      attempt % 2 == 0,
+                      {CommandType::start, attempt == 3 ? other : task, attempt, 0}});
+    }
+    auto lines = trace.describe(task); // the first command was overwritten by the fourth
+    ASSERT_EQ(lines.size(), 2u);
+    EXPECT_EQ(lines[0], "command=start task=req-1/4 attempt=2 machine=i-1 agent_epoch=2 token=" +
+                            std::to_string(make_fencing_token(kTerm, 2)) +
+                            " via=direct at=2.000000");
+    EXPECT_NE(lines[1].find(" attempt=4 "), std::string::npos);
+    EXPECT_TRUE(trace.describe({"req-3", 0}).empty());
+}
+
 } // namespace
 } // namespace scheduler::test
--- a/tests/simulated_cluster.h
+++ b/tests/simulated_cluster.h
@@ -106,6 +106,8 @@
     // Pauses the machine. Direct commands are executed when it resumes.
     void hang(const std::string& machine, double seconds) { workers_.hang(machine, seconds); }
     void kill_machine(const std::string& machine) { workers_.kill(machine); }
+    // Makes the worker lose the highest fencing token that it has seen, and its exited tasks.
+    void forget_token(const std::string& machine) { workers_.forget_token(machine); }
     // Gives notice that the cloud preempts the machine, and ends it after `notice_s`.
     void preempt_machine(const std::string& machine, double notice_s) {
         workers_.preempt(machine, notice_s);
--- a/tests/simulation/worker_model.cpp
+++ b/tests/simulation/worker_model.cpp
@@ -60,6 +60,13 @@
     workers_.at(machine).tasks.clear();
 }
 
+void WorkerModel::forget_token(const std::string& machine) {
+    Worker& worker = workers_.at(machine);
+    worker.fencing_token = 0;
+    std::erase_if(worker.tasks,
+                  [](const auto& entry) { return entry.second.stage == TaskStage::exited; });
+}
+
 void WorkerModel::preempt(const std::string& machine, double notice_s) {
     Worker& worker = workers_.at(machine);
     worker.preempted_at = clock_.now() + notice_s;
--- a/tests/simulation/worker_model.h
+++ b/tests/simulation/worker_model.h
@@ -53,6 +53,8 @@
     }
     void hang(const std::string& machine, double seconds);
     void kill(const std::string& machine);
+    // Loses the highest fencing token that the worker has seen, and the exited tasks.
+    void forget_token(const std::string& machine);
     // Gives notice that the cloud preempts the machine, and ends it after `notice_s`.
     void preempt(const std::string& machine, double notice_s);
 
