Scale test: late copies of requests (--copies) and a count of attempts begun twice

A worker that takes on an attempt a second time breaks the rule began_twice of the report. Calls between real controllers go over their own sockets and are not copied here; the simulated cluster does that.

The report counts direct commands refused, their copies and how many of these were refused, starts refused by workers, exits held in reports and the time from an exit to its clear.

--- a/src/scale/checker.cpp
+++ b/src/scale/checker.cpp
@@ -39,6 +39,10 @@
     case Kind::response: response(event); break;
     case Kind::quota_written: quota_written(event); break;
     case Kind::quota_applied: break;
+    case Kind::attempt_repeated:
+        add_violation("began_twice " + event.task.job + "/" + std::to_string(event.task.index) +
+                      " attempt " + std::to_string(event.request) + " on " + event.machine);
+        break;
     }
 }
 
--- a/src/scale/cloud_server.cpp
+++ b/src/scale/cloud_server.cpp
@@ -14,10 +14,12 @@
 constexpr double kLimitBurst_s = 2;
 constexpr std::size_t kMostListed = 500; // machines of an answer
 constexpr int kMostRented = 50;          // by one request
+constexpr std::uint64_t kCopySeed = 3;
 } // namespace
 
 CloudServer::CloudServer(EventLoop& loop, const Plan& plan, Counters& counters)
     : loop_(loop), plan_(plan), counters_(counters), model_(plan, now()),
+      copies_(loop, plan.options(), Plan::kLatestCopy_s, kCopySeed),
       requests_(plan.options().cloud_rps, kLimitBurst_s),
       server_(loop, [this](const HttpServerRequest& request, Responder to) { serve(request, to); }),
       control_(loop,
@@ -99,6 +101,11 @@
                                      body.at("house").get<std::string>(),
                                      body.at("cuttings").get<bool>(), count);
     counters_.rented += machines.size();
+    copies_.carried_out([this, body, count] {
+        model_.provision(now(), body.at("order").get<std::string>(),
+                         body.at("house").get<std::string>(), body.at("cuttings").get<bool>(),
+                         count);
+    });
     if (machines.empty()) {
         to.send(kHttpUnavailable, pack({{"error", "no capacity"}}));
     } else {
@@ -114,6 +121,9 @@
         model_.release(machines);
         to.send(kHttpOk, pack(Json::object()));
     });
+    copies_.carried_out([this, machines] {
+        tell_workers("/release", machines, [this, machines] { model_.release(machines); });
+    });
 }
 
 } // namespace scheduler::scale
--- a/src/scale/cloud_server.h
+++ b/src/scale/cloud_server.h
@@ -8,6 +8,7 @@
 #include "scale/cloud_model.h"
 #include "scale/counters.h"
 #include "scale/http_server.h"
+#include "scale/late_copies.h"
 #include "scale/plan.h"
 #include "scale/token_bucket.h"
 
@@ -35,6 +36,7 @@
     const Plan& plan_;
     Counters& counters_;
     CloudModel model_;
+    LateCopies copies_;
     TokenBucket requests_;
     HttpServer server_;  // for the controllers
     HttpServer control_; // for the workers' process
--- a/src/scale/counters.h
+++ b/src/scale/counters.h
@@ -42,9 +42,16 @@
     Count reports{0};
     Count reports_answered{0}; // status 200
     Count reports_redirected{0};
-    Count reports_refused{0}; // any other status, or no response
-    Count reports_dropped{0}; // by their token or session
+    Count reports_refused{0};  // any other status, or no response
+    Count reports_dropped{0};  // by their token or session
+    Count reported_exits{0};   // exited tasks in reports
+    Count exits_cleared{0};    // exited tasks that a clear removed
+    Count exit_to_clear_ms{0}; // sum over these
+    Count starts_refused{0};   // by the worker: no room, busy or unknown
     Count orders{0};
+    Count orders_refused{0}; // status 409
+    Count order_copies{0};   // that arrived once more
+    Count order_copies_refused{0};
     Count report_sent{0}; // bytes
     Count report_received{0};
     Count orders_sent{0};
@@ -91,7 +98,14 @@
     {"reports_redirected", &Counters::reports_redirected},
     {"reports_refused", &Counters::reports_refused},
     {"reports_dropped", &Counters::reports_dropped},
+    {"reported_exits", &Counters::reported_exits},
+    {"exits_cleared", &Counters::exits_cleared},
+    {"exit_to_clear_ms", &Counters::exit_to_clear_ms},
+    {"starts_refused", &Counters::starts_refused},
     {"orders", &Counters::orders},
+    {"orders_refused", &Counters::orders_refused},
+    {"order_copies", &Counters::order_copies},
+    {"order_copies_refused", &Counters::order_copies_refused},
     {"report_sent", &Counters::report_sent},
     {"report_received", &Counters::report_received},
     {"orders_sent", &Counters::orders_sent},
--- a/src/scale/history.h
+++ b/src/scale/history.h
@@ -13,16 +13,18 @@
 // One observed event. The kind decides which fields are set.
 struct Event {
     enum class Kind {
-        task_started,   // a task has its image and runs on the machine from now on
-        task_stopped,   // it stopped running without having completed
-        task_completed, // it stopped running and has completed
-        submit,         // a user's request, numbered `request`
-        poll,           // as submit
-        cancel,         // as submit
-        response,       // the response to the request numbered `request`
-        quota_written,  // a team's limit was set to `amount`, at the revision `request`
-        quota_applied,  // a controller reported that it applies all changes up to the revision
-                        // `request`
+        task_started,     // a task has its image and runs on the machine from now on
+        task_stopped,     // it stopped running without having completed
+        task_completed,   // it stopped running and has completed
+        submit,           // a user's request, numbered `request`
+        poll,             // as submit
+        cancel,           // as submit
+        response,         // the response to the request numbered `request`
+        quota_written,    // a team's limit was set to `amount`, at the revision `request`
+        quota_applied,    // a controller reported that it applies all changes up to the revision
+                          // `request`
+        attempt_repeated, // a worker takes on an attempt of a task, numbered `request`, a second
+                          // time
     };
     Kind kind = Kind::task_started;
     Time time = 0; // as returned by now()
--- a/src/scale/hollow_worker.cpp
+++ b/src/scale/hollow_worker.cpp
@@ -78,6 +78,7 @@
                      ExitReason::stopped); // no task saves before it stops
             }
         } else if (it != tasks_.end() && it->second.stage == TaskStage::exited) {
+            environment_.attempt_cleared(now - it->second.exited_at);
             tasks_.erase(it);
             changed_ = true;
         }
@@ -113,9 +114,12 @@
         task.until =
             now + (images_.contains(task.image) ? 0 : spec->image_gb / type_.fetch_gb_per_s);
     }
-    if (task.exit_reason != ExitReason::none) {
+    bool refused = task.exit_reason != ExitReason::none;
+    if (refused) {
         task.stage = TaskStage::exited;
+        task.exited_at = now;
     }
+    environment_.attempt_begun(now, identity_.name, command.task, command.attempt, refused);
     tasks_[{command.task, command.attempt}] = std::move(task);
     changed_ = true;
     advance(now);
@@ -127,6 +131,7 @@
     }
     task.stage = TaskStage::exited;
     task.exit_reason = exit_reason;
+    task.exited_at = now;
     cpus_ -= task.cpus;
     ram_gb_ -= task.ram_gb;
     changed_ = true;
--- a/src/scale/hollow_worker.h
+++ b/src/scale/hollow_worker.h
@@ -19,6 +19,13 @@
         std::function<double(const TaskId&)> task_duration_s;
         std::function<bool(const TaskId&)>
             completed; // whether the task has completed on any machine
+        // Called when the worker takes on an attempt that it does not hold; `refused`: it does not
+        // start the task.
+        std::function<void(Time, const std::string& machine, const TaskId&, std::uint64_t attempt,
+                           bool refused)>
+            attempt_begun;
+        // Called when the worker forgets an attempt, so long after its exit.
+        std::function<void(double exited_for_s)> attempt_cleared;
         // Called when the task has its image and starts to run on the machine.
         std::function<void(Time, const std::string& machine, const TaskId&)> task_started;
         // Called when the task stops running. `done`: it completed.
@@ -70,6 +77,7 @@
         TaskStage stage = TaskStage::fetching;
         ExitReason exit_reason = ExitReason::none;
         Time until = 0; // when the fetch ends, then when the run ends
+        Time exited_at = 0;
         double cpus = 0;
         double ram_gb = 0;
         std::string image;
--- a/src/scale/job_client.cpp
+++ b/src/scale/job_client.cpp
@@ -11,13 +11,16 @@
 constexpr double kSubmitTimeout_s = 5; // as that of a cancellation
 constexpr double kPollTimeout_s = 2;
 constexpr int kMostAttempts = 3;
+constexpr std::uint64_t kCopySeed = 4;
 // No response sooner than this: the connection was refused, the request was not carried out.
 constexpr double kRefusedWithin_s = 0.5;
 } // namespace
 
 JobClient::JobClient(EventLoop& loop, const Plan& plan, LoadBalancer& balancer, Counters& counters,
                      HistoryWriter& history)
-    : loop_(loop), plan_(plan), balancer_(balancer), counters_(counters), history_(history) {}
+    : loop_(loop), plan_(plan), balancer_(balancer),
+      copies_(loop, plan.options(), Plan::kLatestCopy_s, kCopySeed), counters_(counters),
+      history_(history) {}
 
 void JobClient::send(Event::Kind kind, const std::string& job, Handler on_response) {
     send_attempt({kind, job, 1, std::move(on_response)});
@@ -30,6 +33,7 @@
     }
     HttpClientRequest http = http_request(request);
     count(request.kind);
+    copies_.carried_out([this, http] { balancer_.send(http, [](const HttpResponse&) {}); });
     Attempt attempt = record_attempt(request);
     balancer_.send(std::move(http),
                    [this, request = std::move(request), attempt](const HttpResponse& response) {
--- a/src/scale/job_client.h
+++ b/src/scale/job_client.h
@@ -8,6 +8,7 @@
 #include "scale/counters.h"
 #include "scale/history.h"
 #include "scale/http_client.h"
+#include "scale/late_copies.h"
 #include "scale/load_balancer.h"
 #include "scale/plan.h"
 
@@ -57,6 +58,7 @@
     EventLoop& loop_;
     const Plan& plan_;
     LoadBalancer& balancer_;
+    LateCopies copies_;
     Counters& counters_;
     HistoryWriter& history_;
     std::uint64_t last_number_ = 0;
--- a/src/scale/latency_collector.cpp
+++ b/src/scale/latency_collector.cpp
@@ -36,7 +36,8 @@
     case Kind::quota_written: on_quota_written(event); break;
     case Kind::quota_applied: on_quota_applied(event); break;
     case Kind::task_stopped:
-    case Kind::task_completed: break;
+    case Kind::task_completed:
+    case Kind::attempt_repeated: break;
     }
 }
 
--- a/src/scale/options.cpp
+++ b/src/scale/options.cpp
@@ -65,6 +65,7 @@
                                 {"--changes", options.changes, 0},
                                 {"--back", options.restart_after_s, 0},
                                 {"--replace", double(options.replace), 0},
+                                {"--copies", options.copies, 0},
                                 {"--sockets", double(options.sockets), 1},
                                 {"--for", options.window_s, 1},
                                 {"--fill", options.fill_s, 1},
@@ -96,6 +97,9 @@
         refuse("--port",
                "not from " + std::to_string(kLowestPort) + " to " + std::to_string(kHighestPort));
     }
+    if (options.copies > 1) {
+        refuse("--copies", "a share, over 1");
+    }
     if (options.kill_at_s >= options.window_s) {
         refuse("--kill", "not before the end of --for");
     }
--- a/src/scale/plan.h
+++ b/src/scale/plan.h
@@ -39,6 +39,8 @@
     static constexpr double kWorkerLease_s = 17;
     static constexpr double kCancellationTimeout_s = 42;
     static constexpr int kZones = 3;
+    // A copy of a request arrives at most two worker leases after it.
+    static constexpr double kLatestCopy_s = 2 * kWorkerLease_s;
     std::vector<TeamQuota> teams() const;
     InstanceType machine_type() const;
     std::string zone(int number) const;
--- a/src/scale/store_server.cpp
+++ b/src/scale/store_server.cpp
@@ -13,6 +13,7 @@
 constexpr double kLimitBurst_s = 1;
 constexpr std::size_t kMostItems = 1000; // of an answer
 constexpr double kMillisecondsPerSecond = 1000;
+constexpr std::uint64_t kCopySeed = 2;
 constexpr std::string_view kKeyPath = "/kv/";
 constexpr std::string_view kLeasePath = "/holds/";
 
@@ -24,7 +25,8 @@
 } // namespace
 
 StoreServer::StoreServer(EventLoop& loop, const Plan& plan, Counters& counters)
-    : counters_(counters), requests_(plan.options().state_rps, kLimitBurst_s),
+    : counters_(counters), copies_(loop, plan.options(), Plan::kLatestCopy_s, kCopySeed),
+      requests_(plan.options().state_rps, kLimitBurst_s),
       changes_(plan.options().state_write_rps, kLimitBurst_s),
       server_(loop,
               [this](const HttpServerRequest& request, Responder to) { serve(request, to); }) {
@@ -100,6 +102,7 @@
     StoreModel::Response answer = store_.transact(at, transaction);
     if (answer.status == kHttpOk) {
         counters_.state_changes += changes;
+        carry_out_again([this, transaction](Time later) { store_.transact(later, transaction); });
     } else {
         ++counters_.state_conditions_failed;
     }
@@ -108,7 +111,20 @@
 
 void StoreServer::change_lease(Time at, const HttpServerRequest& request, Responder to) {
     std::uint64_t lease = std::stoull(request.path.substr(kLeasePath.size()));
-    respond(to, request.method == "DELETE" ? store_.revoke(lease) : store_.renew(at, lease));
+    bool revoke = request.method == "DELETE";
+    respond(to, revoke ? store_.revoke(lease) : store_.renew(at, lease));
+    carry_out_again([this, revoke, lease](Time later) {
+        revoke ? store_.revoke(lease) : store_.renew(later, lease);
+    });
+}
+
+// Draws whether the request arrives once more, and carries it out then.
+void StoreServer::carry_out_again(std::function<void(Time)> work) {
+    copies_.carried_out([this, work = std::move(work)] {
+        Time later = now();
+        work(later);
+        respond_to_watches(later);
+    });
 }
 
 void StoreServer::watch(Time at, const HttpServerRequest& request, Responder to) {
--- a/src/scale/store_server.h
+++ b/src/scale/store_server.h
@@ -7,6 +7,7 @@
 
 #include "scale/counters.h"
 #include "scale/http_server.h"
+#include "scale/late_copies.h"
 #include "scale/plan.h"
 #include "scale/store_model.h"
 #include "scale/token_bucket.h"
@@ -32,6 +33,7 @@
     void route(Time at, const HttpServerRequest& request, Responder to);
     void range(const HttpServerRequest& request, Responder to);
     void transact(Time at, const HttpServerRequest& request, Responder to);
+    void carry_out_again(std::function<void(Time)> work);
     void change_lease(Time at, const HttpServerRequest& request, Responder to);
     void watch(Time at, const HttpServerRequest& request, Responder to);
     void expire_leases();
@@ -39,6 +41,7 @@
 
     Counters& counters_;
     StoreModel store_;
+    LateCopies copies_;
     TokenBucket requests_;
     TokenBucket changes_;
     std::list<Watch> watches_;
--- a/src/scale/worker_fleet.cpp
+++ b/src/scale/worker_fleet.cpp
@@ -15,12 +15,14 @@
 constexpr double kMinHeartbeatInterval_s = 0.5;
 constexpr double kNextControllerDelay_s = 1; // delay before trying the next controller
 constexpr double kHeartbeatTimeout_s = 4;
+constexpr double kMillisecondsPerSecond = 1000;
 constexpr double kHeartbeatJitter = 0.25; // fraction of the heartbeat interval
 } // namespace
 
 WorkerFleet::WorkerFleet(const Plan& plan, Counters& counters, const std::string& history)
     : plan_(plan), counters_(counters), history_(history), random_(plan.region() + 1),
       type_(plan.machine_type()), environment_(environment()),
+      copies_(loop_, plan.options(), Plan::kLatestCopy_s, std::uint64_t(plan.region()) + 1),
       command_server_(loop_, [this](const HttpServerRequest& request,
                                     Responder to) { on_direct_command(request, to); }),
       cloud_server_(loop_, [this](const HttpServerRequest& request, Responder to) {
@@ -34,6 +36,14 @@
     out.job = [this](const std::string& id) { return plan_.job(id); };
     out.task_duration_s = [this](const TaskId& task) { return plan_.task_duration_s(task); };
     out.completed = [this](const TaskId& task) { return completed_.contains(task); };
+    out.attempt_begun = [this](Time at, const std::string& machine, const TaskId& task,
+                               std::uint64_t attempt, bool refused) {
+        on_attempt_begun(at, machine, task, attempt, refused);
+    };
+    out.attempt_cleared = [this](double exited_for_s) {
+        ++counters_.exits_cleared;
+        counters_.exit_to_clear_ms += std::uint64_t(exited_for_s * kMillisecondsPerSecond);
+    };
     out.task_started = [this](Time at, const std::string& machine, const TaskId& task) {
         ++counters_.running;
         ++counters_.starts;
@@ -65,8 +75,16 @@
     return std::uniform_real_distribution<>(from, to)(random_);
 }
 
-void WorkerFleet::record(Time at, Event::Kind kind, const std::string& machine,
-                         const TaskId& task) {
+void WorkerFleet::on_attempt_begun(Time at, const std::string& machine, const TaskId& task,
+                                   std::uint64_t attempt, bool refused) {
+    counters_.starts_refused += refused ? 1 : 0;
+    if (!begun_attempts_.insert(attempt).second) {
+        record(at, Event::Kind::attempt_repeated, machine, task, attempt);
+    }
+}
+
+void WorkerFleet::record(Time at, Event::Kind kind, const std::string& machine, const TaskId& task,
+                         std::uint64_t attempt) {
     int worker = plan_.worker_number(machine);
     Event event;
     event.kind = kind;
@@ -75,6 +93,7 @@
     event.zone = plan_.worker_zone(worker);
     event.spot = plan_.worker_spot(worker);
     event.task = task;
+    event.request = attempt;
     history_.write(event);
 }
 
@@ -180,7 +199,11 @@
 
 void WorkerFleet::send_heartbeat(Time at, int worker, Machine& machine) {
     HttpClientRequest request;
-    request.body = pack_heartbeat(machine.worker.heartbeat(at, true));
+    Heartbeat heartbeat = machine.worker.heartbeat(at, true);
+    counters_.reported_exits += std::uint64_t(
+        std::count_if(heartbeat.tasks.begin(), heartbeat.tasks.end(),
+                      [](const TaskStatus& task) { return task.stage == TaskStage::exited; }));
+    request.body = pack_heartbeat(heartbeat);
     request.from = plan_.worker_host(worker);
     request.host = plan_.controller_host(machine.controller);
     request.port = plan_.client_port();
@@ -195,6 +218,8 @@
     send_request(loop_, request, [this, worker, at, agent_epoch](const HttpResponse& response) {
         on_heartbeat_response(worker, agent_epoch, at, response);
     });
+    copies_.carried_out(
+        [this, request] { send_request(loop_, request, [](const HttpResponse&) {}); });
 }
 
 void WorkerFleet::on_heartbeat_response(int worker, std::uint64_t agent_epoch, Time sent,
@@ -277,16 +302,30 @@
     int status = kHttpOk;
     if (request.path != "/inspect") {
         try {
-            status = machine.worker.on_direct_commands(at, parse_direct_commands(request.body));
+            DirectCommands direct = parse_direct_commands(request.body);
+            status = machine.worker.on_direct_commands(at, direct);
+            copies_.carried_out([this, worker, direct] { deliver_copy(worker, direct); });
         } catch (const std::exception&) {
             to.send(kHttpBadRequest, "");
             return;
         }
+        counters_.orders_refused += status == kHttpConflict ? 1 : 0;
     }
     counters_.orders_sent += to.send(status, pack_heartbeat(machine.worker.heartbeat(at, false)));
     queue_wakeup(worker, machine);
 }
 
+void WorkerFleet::deliver_copy(int worker, const DirectCommands& direct) {
+    auto it = machines_.find(worker);
+    if (it == machines_.end()) {
+        return;
+    }
+    ++counters_.order_copies;
+    int status = it->second.worker.on_direct_commands(now(), direct);
+    counters_.order_copies_refused += status == kHttpConflict ? 1 : 0;
+    queue_wakeup(worker, it->second);
+}
+
 // Serves notifications of machines that have booted or were released.
 void WorkerFleet::on_cloud_command(const HttpServerRequest& request, Responder to) {
     for (const auto& name : unpack(request.body)) {
--- a/src/scale/worker_fleet.h
+++ b/src/scale/worker_fleet.h
@@ -14,6 +14,7 @@
 #include "scale/hollow_worker.h"
 #include "scale/http_client.h"
 #include "scale/http_server.h"
+#include "scale/late_copies.h"
 #include "scale/plan.h"
 
 namespace scheduler::scale {
@@ -51,7 +52,10 @@
 
     HollowWorker::Environment environment();
     double random_between(double from, double to);
-    void record(Time at, Event::Kind kind, const std::string& machine, const TaskId& task);
+    void record(Time at, Event::Kind kind, const std::string& machine, const TaskId& task,
+                std::uint64_t attempt = 0);
+    void on_attempt_begun(Time at, const std::string& machine, const TaskId& task,
+                          std::uint64_t attempt, bool refused);
 
     void boot(int worker, double first_heartbeat_s);
     void terminate(int worker);
@@ -73,6 +77,7 @@
     int controller_number(const std::string& name) const;
 
     void on_direct_command(const HttpServerRequest& request, Responder to);
+    void deliver_copy(int worker, const DirectCommands& direct);
     void on_cloud_command(const HttpServerRequest& request, Responder to);
 
     const Plan& plan_;
@@ -85,6 +90,9 @@
     std::map<int, Machine> machines_;    // by the worker's number
     std::map<std::string, int> by_host_; // the worker's number
     std::set<TaskId> completed_;
+    // No job of a plan is a gang, so an attempt number belongs to one launch.
+    std::set<std::uint64_t> begun_attempts_;
+    LateCopies copies_;
     std::priority_queue<Wakeup, std::vector<Wakeup>, std::greater<>> wakeups_;
     HttpServer command_server_; // for the controllers
     HttpServer cloud_server_;   // for the cloud
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -112,6 +112,14 @@
     EXPECT_TRUE(only_violation_is("ran_twice"));
 }
 
+TEST_F(CheckerTest, AnAttemptThatBeginsASecondTimeIsAViolation) {
+    accept();
+    task_event(Kind::task_started, 2, 0, "x");
+    task_event(Kind::task_completed, 3, 0, "x");
+    task_event(Kind::attempt_repeated, 4, 0, "x");
+    EXPECT_TRUE(only_violation_is("began_twice"));
+}
+
 TEST_F(CheckerTest, UsageAboveTheLimitViolatesQuota) {
     accept();
     task_event(Kind::task_started, 2, 0, "x");
@@ -238,6 +246,12 @@
         };
         environment.task_duration_s = [](const TaskId&) { return 10.0; };
         environment.completed = [this](const TaskId& task) { return completed.contains(task); };
+        environment.attempt_begun = [this](Time, const std::string&, const TaskId& task,
+                                           std::uint64_t attempt,
+                                           bool) { begun.emplace_back(task, attempt); };
+        environment.attempt_cleared = [this](double exited_for_s) {
+            cleared_after_s.push_back(exited_for_s);
+        };
         environment.task_started = [this](Time, const std::string&, const TaskId& task) {
             running.insert(task);
         };
@@ -251,6 +265,8 @@
     static WorkerCommand start(std::uint32_t task, std::uint64_t attempt) {
         return {CommandType::start, {kJob, task}, attempt, 0};
     }
+    std::vector<std::pair<TaskId, std::uint64_t>> begun;
+    std::vector<double> cleared_after_s;
     std::set<TaskId> running;
     std::set<TaskId> completed;
     HollowWorker::Environment environment;
@@ -274,6 +290,24 @@
     EXPECT_TRUE(worker.heartbeat(12.5, true).tasks.empty());
 }
 
+// As the protocol has it: the worker tells a repeated start by the attempts that it holds.
+TEST_F(HollowWorkerTest, ACopyOfAStartIsExecutedOnceTheAttemptIsClearedUnlessTheTokenIsHigher) {
+    const std::pair<TaskId, std::uint64_t> attempt{{kJob, 0}, 9};
+    const DirectCommands copy{5, 1, {start(0, 9)}};
+    const std::vector<WorkerCommand> stop_and_clear{{CommandType::stop, {kJob, 0}, 9, 0},
+                                                    {CommandType::clear, {kJob, 0}, 9, 0}};
+    worker.on_direct_commands(1, copy);
+    EXPECT_EQ(worker.on_direct_commands(1.5, copy), 200);
+    EXPECT_EQ(begun, (std::vector{attempt}));
+    EXPECT_TRUE(worker.on_heartbeat_response(3, 1, 2, {5, stop_and_clear}));
+    EXPECT_EQ(cleared_after_s, std::vector<double>{0});
+    EXPECT_EQ(worker.on_direct_commands(4, copy), 200);
+    EXPECT_EQ(begun, (std::vector{attempt, attempt}));
+    EXPECT_TRUE(worker.on_heartbeat_response(5, 1, 4, {6, stop_and_clear}));
+    EXPECT_EQ(worker.on_direct_commands(6, copy), 409);
+    EXPECT_EQ(begun.size(), 2U);
+}
+
 TEST_F(HollowWorkerTest, CommandsWithALowerTokenOrAnotherAgentEpochAreRejected) {
     EXPECT_EQ(worker.on_direct_commands(1, {5, 1, {}}), 200);
     EXPECT_EQ(worker.on_direct_commands(1, {4, 1, {start(0, 9)}}), 409);
