Tests: the last token of a term, and the size of heartbeats on machines with many short tasks

The last sequence number of a term still settles unanswered starts and clears, and nothing starts on a machine that has reached it.

HeartbeatSize finds a fault that is as old as the done bits: on machines with 96 slots and tasks of a second a heartbeat grows over 64 KiB, as exits wait for their bit.

--- a/tests/late_copies_test.cpp
+++ b/tests/late_copies_test.cpp
@@ -189,6 +189,56 @@
 INSTANTIATE_TEST_SUITE_P(All, LateStartCopies, testing::Range(std::size_t{0}, scenarios().size()),
                          [](const auto& at) { return scenarios()[at.param].name; });
 
+// Returns the size in bytes of the heartbeat's list of tasks as JSON.
+std::size_t task_list_bytes(const Heartbeat& heartbeat) {
+    constexpr std::string_view kTask = R"({"petal":"/","sowing":,"stage":"exited","wilt":"done"},)";
+    std::size_t bytes = 0;
+    for (const auto& status : heartbeat.tasks) {
+        bytes += kTask.size() + status.task.job.size() + std::to_string(status.task.index).size() +
+                 std::to_string(status.attempt).size();
+    }
+    return bytes;
+}
+
+class HeartbeatSize : public testing::TestWithParam<int> {};
+
+// Exits that wait for their clear fill the heartbeats of a machine with 96 slots and tasks of 1 s.
+TEST_P(HeartbeatSize, StaysWithinTheLimitWhileClearsRaiseTheToken) {
+    constexpr std::size_t kLimitBytes = 64 * 1024;
+    constexpr std::size_t kMachineFieldsBytes = 300;
+    SimulationOptions options{.nodes = 3, .run_s = 1, .limits = 400, .capacity = 6};
+    options.report_s = GetParam();
+    options.lease_s = 38;
+    options.cancel_s = 63;
+    options.further_types = {{"m96", 96, 0, 384, 100, 1, 1, 1, 10, {"a", "b"}}};
+    SimulatedCluster cluster(options);
+    cluster.random_faults.copies = 0.5;
+    for (int k = 0; k < 12; ++k) {
+        cluster.at(6 + 4 * k, [&cluster, k] {
+            JobSpec spec = cluster.job("req-" + std::to_string(k), 2000, 1);
+            spec.team = k % 2 ? "red" : "blue";
+            spec.types = {"m96"};
+            cluster.submit(k % 3, spec);
+        });
+    }
+    std::size_t most_tasks = 0;
+    std::size_t most_bytes = 0;
+    while (cluster.now() < 60) {
+        cluster.run_for(0.1);
+        for (const auto& machine : cluster.machines_up()) {
+            const Heartbeat& heartbeat = cluster.last_sent_heartbeat(machine);
+            most_tasks = std::max(most_tasks, heartbeat.tasks.size());
+            most_bytes = std::max(most_bytes, kMachineFieldsBytes + task_list_bytes(heartbeat));
+        }
+    }
+    std::printf("at most %zu tasks and %zu bytes in a heartbeat, %.0f starts\n", most_tasks,
+                most_bytes, cluster.counts().starts);
+    EXPECT_GT(cluster.counts().starts, 1000);
+    EXPECT_LT(most_bytes, kLimitBytes);
+    EXPECT_TRUE(cluster.broken.empty()) << cluster.broken.front();
+}
+INSTANTIATE_TEST_SUITE_P(HeartbeatIntervalS, HeartbeatSize, testing::Values(3, 6, 8));
+
 // The incident: a borrower's task failed on a lent slot, the lender cleared it, and the task was
 // started on another machine before the copy of its first start arrived.
 TEST(LateStartCopies, OfATaskClearedByTheLenderDoesNotRunItTwice) {
--- a/tests/machine_table_test.cpp
+++ b/tests/machine_table_test.cpp
@@ -194,6 +194,29 @@
     EXPECT_TRUE(machine.fenced);
 }
 
+// No start leaves directly under the last token, so it settles those that left before.
+TEST(MachineTable, LastTokenOfATermStillSettlesStartsAndClears) {
+    SingleMachineTable single;
+    auto& [table, machine, heartbeat] = single;
+    machine.fencing_sequence = kMaxFencingSequence - 1;
+    ExitedTask exited;
+    exited.start(single, true);
+    Placement unanswered;
+    unanswered.attempt = 2;
+    table.queue_start(0, machine, {"req-1", 1}, unanswered);
+    table.on_commands_sent(machine, table.take_commands_for_request(machine), 6);
+    exited.report(single, kMaxFencingSequence - 1);
+    EXPECT_EQ(machine.tasks.size(), 1u) << "the start without an answer may still arrive";
+    MachineTable::raise_token_for_clears(1, machine, {exited.status()}, 0);
+    EXPECT_TRUE(machine.may_clear(exited.status()));
+    ++heartbeat.sequence;
+    heartbeat.fencing_token = machine.fencing_token();
+    heartbeat.tasks.clear();
+    table.apply_heartbeat(2, machine, heartbeat, 0);
+    EXPECT_TRUE(machine.tasks.empty());
+    EXPECT_TRUE(machine.exited_start_tokens.empty());
+}
+
 TEST(CommandTrace, DescribesTheLatestCommandsAboutATaskInOrder) {
     CommandTrace trace(3);
     TaskId task{"req-1", 4};
--- a/tests/slot_borrowing_test.cpp
+++ b/tests/slot_borrowing_test.cpp
@@ -364,6 +364,22 @@
     }
 };
 
+// The next owner of the shard has higher tokens; until then the machine runs empty and is returned.
+TEST(ShardLending, NothingStartsOnAMachineWhoseFencingTokensAreUsedUp) {
+    Borrower borrower;
+    SlotLists slots;
+    SlotFinder finder(borrower.policy, *borrower.owned_shards, borrower.instance_types,
+                      borrower.machines, slots);
+    ShardId own_shard{0, 0};
+    Machine& machine = borrower.machines.add(0, "i-1", borrower.instance_types.all()[0], "a", true,
+                                             own_shard, borrower.leadership->term());
+    machine.reporting = machine.fenced = machine.registered = true;
+    machine.fencing_sequence = kMaxFencingSequence - 1;
+    EXPECT_TRUE(finder.is_schedulable(machine));
+    machine.fencing_sequence = kMaxFencingSequence;
+    EXPECT_FALSE(finder.is_schedulable(machine));
+}
+
 // The tasks of a gang share the number of its attempt, so a slot may get the identity of one that
 // was returned before. A late request would return the new slot while its task starts.
 TEST(ShardLending, LateOrRepeatedRequestReturnsNoSlot) {
