--- a/tests/late_copies_test.cpp
+++ b/tests/late_copies_test.cpp
@@ -239,8 +239,7 @@
 }
 INSTANTIATE_TEST_SUITE_P(HeartbeatIntervalS, HeartbeatSize, testing::Values(3, 6, 8));
 
-// The incident: a borrower's task failed on a lent slot, the lender cleared it, and the task was
-// started on another machine before the copy of its first start arrived.
+// A borrower's task that was refused on a lent slot runs elsewhere when the copy arrives.
 TEST(LateStartCopies, OfATaskClearedByTheLenderDoesNotRunItTwice) {
     SimulatedCluster cluster({.nodes = 2, .run_s = 600, .limits = 12, .capacity = 24});
     cluster.run_for(3);
@@ -269,9 +268,7 @@
     EXPECT_TRUE(cluster.broken.empty()) << cluster.broken.front();
 }
 
-// Against a worker that loses its token no controller can help: "Each worker stores the highest
-// token it has seen" (protocol). What is left is to stop the task with the next heartbeat, and to
-// say so.
+// No controller can prevent it: "Each worker stores the highest token it has seen" (protocol).
 TEST(LateStartCopies, AtAWorkerThatLostItsTokenAreLoggedAndStopped) {
     SimulatedCluster cluster({.nodes = 1, .run_s = 3, .limits = 12, .capacity = 4});
     cluster.run_for(3);
