Tests build on arm64 with sanitizers: the simulated cluster's put is not inline

The tests did not build on arm64, on either: with sanitizers g++ 12 takes a moved-from variant for uninitialized once SimulatedCluster::put is inlined into concurrent_status_reads_test.cpp (-Werror=maybe-uninitialized). Out of line nothing is taken for uninitialized; no warning is turned off.

--- a/tests/simulated_cluster.cpp
+++ b/tests/simulated_cluster.cpp
@@ -1,5 +1,7 @@
 #include "simulated_cluster.h"
 
+#include <utility>
+
 #include "core/model/partition_assignment.h"
 
 namespace scheduler::test {
@@ -108,6 +110,10 @@
         outcome == Outcome::done ? JobRecord{outcome, {}} : JobRecord{outcome, spec});
 }
 
+void SimulatedCluster::put(const std::string& key, StoredRecord record) {
+    store_.put(key, std::move(record));
+}
+
 void SimulatedCluster::start_polling_open_jobs() {
     history_checker_.faults_ended(now());
     if (users_.start_polling()) {
--- a/tests/simulated_cluster.h
+++ b/tests/simulated_cluster.h
@@ -149,7 +149,7 @@
     // Returns the seconds from the write of each change until it is in force at each controller.
     const std::vector<double>& quota_delays_s() const { return quotas_.quota_delays_s(); }
     // Writes or deletes a record of the store directly.
-    void put(const std::string& key, StoredRecord record) { store_.put(key, std::move(record)); }
+    void put(const std::string& key, StoredRecord record);
     void drop(const std::string& key) { store_.drop(key); }
     bool key_exists(const std::string& key) const { return store_.entries().contains(key); }
 
