--- a/src/scale/counters.h
+++ b/src/scale/counters.h
@@ -63,8 +63,9 @@
     Count accepted{0};
     Count polls{0};
     Count cancellations{0};
-    Count refused{0};  // status 429 or 503
-    Count given_up{0}; // by their users, after a minute
+    Count slow_requests{0}; // sent late, in parts or never whole
+    Count refused{0};       // status 429 or 503
+    Count given_up{0};      // by their users, after a minute
     Count user_sent{0};
     Count user_received{0};
     Count jobs_open{0}; // now
@@ -115,6 +116,7 @@
     {"accepted", &Counters::accepted},
     {"polls", &Counters::polls},
     {"cancellations", &Counters::cancellations},
+    {"slow_requests", &Counters::slow_requests},
     {"refused", &Counters::refused},
     {"given_up", &Counters::given_up},
     {"user_sent", &Counters::user_sent},
--- a/src/scale/http_client.cpp
+++ b/src/scale/http_client.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "scale/libevent_helpers.h"
+#include "scale/slow_request.h"
 
 namespace scheduler::scale {
 
@@ -61,6 +62,10 @@
 
 void send_request(EventLoop& loop, const HttpClientRequest& request,
                   std::function<void(HttpResponse)> on_response) {
+    if (request.slow) {
+        send_slowly(loop, request, *request.slow, std::move(on_response));
+        return;
+    }
     evhttp_connection* connection = connect(loop, request);
     auto* pending = new Pending{std::move(on_response), 0};
     evhttp_request* out = evhttp_request_new(on_evhttp_response, pending);
--- a/src/scale/http_client.h
+++ b/src/scale/http_client.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "scale/event_loop.h"
@@ -10,6 +11,14 @@
 
 namespace scheduler::scale {
 
+// How the bytes of a request arrive.
+struct SlowDelivery {
+    enum class Kind { in_two_parts, byte_by_byte, never_whole, closed, reset };
+    Kind kind = Kind::in_two_parts;
+    double first_part = 0; // sent at once, as a share of the request
+    double delay_s = 0;    // before the rest, or the end of the connection
+};
+
 struct HttpClientRequest {
     std::string from; // address that the connection is made from; empty: any
     std::string host;
@@ -18,6 +27,7 @@
     std::string path;
     std::string body;
     double timeout_s = 4;
+    std::optional<SlowDelivery> slow; // nothing: all bytes are sent at once
 };
 
 struct HttpResponse {
--- a/src/scale/job_client.cpp
+++ b/src/scale/job_client.cpp
@@ -12,6 +12,7 @@
 constexpr double kPollTimeout_s = 2;
 constexpr int kMostAttempts = 3;
 constexpr std::uint64_t kCopySeed = 4;
+constexpr std::uint64_t kSlowSeed = 5;
 // No response sooner than this: the connection was refused, the request was not carried out.
 constexpr double kRefusedWithin_s = 0.5;
 } // namespace
@@ -19,7 +20,8 @@
 JobClient::JobClient(EventLoop& loop, const Plan& plan, LoadBalancer& balancer, Counters& counters,
                      HistoryWriter& history)
     : loop_(loop), plan_(plan), balancer_(balancer),
-      copies_(loop, plan.options(), Plan::kLatestCopy_s, kCopySeed), counters_(counters),
+      copies_(loop, plan.options(), Plan::kLatestCopy_s, kCopySeed),
+      slow_deliveries_(plan.options().slow_users, kSlowSeed), counters_(counters),
       history_(history) {}
 
 void JobClient::send(Event::Kind kind, const std::string& job, Handler on_response) {
@@ -35,6 +37,9 @@
     count(request.kind);
     copies_.carried_out([this, http] { balancer_.send(http, [](const HttpResponse&) {}); });
     Attempt attempt = record_attempt(request);
+    http.slow = slow_deliveries_.draw();
+    attempt.slow = http.slow.has_value();
+    counters_.slow_requests += attempt.slow ? 1 : 0;
     balancer_.send(std::move(http),
                    [this, request = std::move(request), attempt](const HttpResponse& response) {
                        on_attempt_over(request, attempt, response);
@@ -45,7 +50,8 @@
                                 const HttpResponse& response) {
     counters_.user_sent += response.sent;
     counters_.user_received += response.received;
-    bool connection_refused = response.status == 0 && now() - attempt.sent < kRefusedWithin_s;
+    bool connection_refused =
+        response.status == 0 && !attempt.slow && now() - attempt.sent < kRefusedWithin_s;
     if (connection_refused && request.attempt < kMostAttempts) {
         Request again = request;
         ++again.attempt;
@@ -86,7 +92,7 @@
     event.task.job = request.job;
     event.request = ++last_number_;
     history_.write(event);
-    return {event.request, event.time};
+    return {event.request, event.time, false};
 }
 
 JobResponse JobClient::record_response(const Request& request, const Attempt& attempt,
--- a/src/scale/job_client.h
+++ b/src/scale/job_client.h
@@ -11,6 +11,7 @@
 #include "scale/late_copies.h"
 #include "scale/load_balancer.h"
 #include "scale/plan.h"
+#include "scale/slow_request.h"
 
 namespace scheduler::scale {
 
@@ -45,6 +46,7 @@
     struct Attempt {
         std::uint64_t number = 0;
         Time sent = 0;
+        bool slow = false;
     };
     void send_attempt(Request request);
     void on_attempt_over(const Request& request, const Attempt& attempt,
@@ -59,6 +61,7 @@
     const Plan& plan_;
     LoadBalancer& balancer_;
     LateCopies copies_;
+    SlowDeliveries slow_deliveries_;
     Counters& counters_;
     HistoryWriter& history_;
     std::uint64_t last_number_ = 0;
--- a/src/scale/main.cpp
+++ b/src/scale/main.cpp
@@ -39,6 +39,8 @@
                        "seconds into the window: a controller a region is ended");
     command.add_option("--back", options.restart_after_s, "seconds until it is started again");
     command.add_option("--replace", options.replace, "workers that die in the window");
+    command.add_option("--slow-users", options.slow_users,
+                       "share of users' requests that arrive late, in parts or never whole");
     command.add_option("--copies", options.copies,
                        "share of requests that arrive once more after they were carried out");
 }
--- a/src/scale/options.cpp
+++ b/src/scale/options.cpp
@@ -66,6 +66,7 @@
                                 {"--back", options.restart_after_s, 0},
                                 {"--replace", double(options.replace), 0},
                                 {"--copies", options.copies, 0},
+                                {"--slow-users", options.slow_users, 0},
                                 {"--sockets", double(options.sockets), 1},
                                 {"--for", options.window_s, 1},
                                 {"--fill", options.fill_s, 1},
@@ -97,6 +98,9 @@
         refuse("--port",
                "not from " + std::to_string(kLowestPort) + " to " + std::to_string(kHighestPort));
     }
+    if (options.slow_users > 1) {
+        refuse("--slow-users", "a share, over 1");
+    }
     if (options.copies > 1) {
         refuse("--copies", "a share, over 1");
     }
--- a/src/scale/options.h
+++ b/src/scale/options.h
@@ -32,7 +32,8 @@
     double kill_at_s = -1;      // into the window a controller of each region is killed; < 0: none
     double restart_after_s = 2; // it is restarted so long after
     int replace = 0;            // workers that die; others are rented in their place
-    double copies = 0; // share of requests that arrive once more after they were carried out
+    double slow_users = 0; // share of users' requests that arrive late, in parts or never whole
+    double copies = 0;     // share of requests that arrive once more after they were carried out
 
     // What surrounds the controllers.
     double state_rps = 250;      // requests that each key-value store allows
--- a/src/scale/report.cpp
+++ b/src/scale/report.cpp
@@ -30,13 +30,21 @@
 double ratio(double amount, double count) { return count > 0 ? amount / count : 0; }
 
 Json options_json(const Options& options, const RunResults& results) {
-    return {{"regions", options.regions},     {"controllers", options.controllers},
-            {"workers", options.workers},     {"tasks", options.tasks},
-            {"starts", options.start_rate},   {"teams", options.teams},
-            {"waiting", options.waiting},     {"job_tasks", results.job_tasks},
-            {"changes", options.changes},     {"kill", options.kill_at_s},
-            {"replace", options.replace},     {"copies", options.copies},
-            {"state_rps", options.state_rps}, {"state_writes", options.state_write_rps}};
+    return {{"regions", options.regions},
+            {"controllers", options.controllers},
+            {"workers", options.workers},
+            {"tasks", options.tasks},
+            {"starts", options.start_rate},
+            {"teams", options.teams},
+            {"waiting", options.waiting},
+            {"job_tasks", results.job_tasks},
+            {"changes", options.changes},
+            {"kill", options.kill_at_s},
+            {"replace", options.replace},
+            {"copies", options.copies},
+            {"slow_users", options.slow_users},
+            {"state_rps", options.state_rps},
+            {"state_writes", options.state_write_rps}};
 }
 
 Json machine_json() {
