Bound what a MessagePack body may declare by its bytes; take no status from a part of a message

What callers saw: a sound submission with an unknown field nested over 32 deep got 400. Found while looking for paths with the incident's flaw: a 404 for a key was believed whatever its body was, and a body without a stated length that was cut off passed for a whole one under 400, 404, 410 and for renewals and releases.

Cause: limits on nesting and sizes were fixed numbers: too low for nesting, and so high for sizes that 32 nested lists of a million declared elements would have taken 768 MB before the end of the body was noticed. Statuses without content of use were taken without reading the body.

Why it works: a body is walked through first, and each declared element must have a byte of the body; then nesting is bounded by the bytes too. A missing key is taken from a whole response alone.

--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -85,6 +85,13 @@
     return instance;
 }
 
+// A body whose content doesn't matter may be empty, but must not be a part of a message.
+void check_whole(const std::string& body) {
+    if (!body.empty()) {
+        unpack_body(body);
+    }
+}
+
 } // namespace
 
 Heartbeat parse_heartbeat(const std::string& body) {
@@ -270,13 +277,16 @@
                     }
                     response.revision = fields.find("ring") ? fields.integer("ring") : 0;
                 }
+            } else if (status == 404 && std::holds_alternative<StoreGet>(request)) {
+                Fields(unpack_body(body).get()).integer("ring");
+            } else if (status == 400 || status == 404 || status == 410) {
+                check_whole(body);
             }
             return response;
         }
-        if (std::holds_alternative<StoreLeaseRenewal>(request)) {
-            return response;
-        }
-        if (std::holds_alternative<ScaleIn>(request)) {
+        if (std::holds_alternative<StoreLeaseRenewal>(request) ||
+            std::holds_alternative<ScaleIn>(request)) {
+            check_whole(body);
             return response;
         }
         auto handle = unpack_body(body);
--- a/src/wire/msgpack_fields.h
+++ b/src/wire/msgpack_fields.h
@@ -142,18 +142,39 @@
     msgpack::object_map map_{};
 };
 
-// Decodes a body that holds exactly one MessagePack value.
+// Checks while a value is walked through that the elements declared so far can all be in the body,
+// before memory is taken for any of them.
+class DeclaredSizeCheck : public msgpack::null_visitor {
+  public:
+    explicit DeclaredSizeCheck(std::size_t body_bytes) : body_bytes_(body_bytes) {}
+    bool start_array(std::uint32_t elements) { return declare(elements); }
+    bool start_map(std::uint32_t pairs) { return declare(2 * std::uint64_t{pairs}); }
+
+  private:
+    // Each element takes a byte at least.
+    bool declare(std::uint64_t elements) {
+        declared_ += elements;
+        return declared_ < body_bytes_;
+    }
+    const std::uint64_t body_bytes_;
+    std::uint64_t declared_ = 0;
+};
+
+// Decodes a body that holds exactly one MessagePack value. Sizes and nesting are limited by the
+// bytes of the body, which may declare anything.
 inline msgpack::object_handle unpack_body(const std::string& body) {
     try {
         std::size_t used = 0;
-        // Sizes and nesting are limited, because a body from outside may declare any size.
-        auto handle =
-            msgpack::unpack(body.data(), body.size(), used, nullptr, nullptr,
-                            msgpack::unpack_limit(1 << 20, 1 << 20, 1 << 20, 1 << 20, 1 << 20, 32));
+        DeclaredSizeCheck check(body.size());
+        if (!msgpack::parse(body.data(), body.size(), used, check)) {
+            throw MessageError("not MessagePack");
+        }
         if (used != body.size()) {
             throw MessageError("not MessagePack: more than one value");
         }
-        return handle;
+        std::size_t most = body.size();
+        return msgpack::unpack(body.data(), body.size(), nullptr, nullptr,
+                               msgpack::unpack_limit(most, most, most, most, most, most));
     } catch (const msgpack::unpack_error&) {
         throw MessageError("not MessagePack");
     }
