--- a/src/net/incomplete_connections.cpp
+++ b/src/net/incomplete_connections.cpp
@@ -38,7 +38,8 @@
 IncompleteConnections::IncompleteConnections(ConnectionLimits limits, CompleteHandler on_complete,
                                              DropHandler on_dropped)
     : limits_(limits), on_complete_(std::move(on_complete)), on_dropped_(std::move(on_dropped)),
-      epoll_(::epoll_create1(EPOLL_CLOEXEC)), thread_([this] { run(); }) {}
+      epoll_(::epoll_create1(EPOLL_CLOEXEC)), read_buffer_(kReadBytes, 0),
+      thread_([this] { run(); }) {}
 
 IncompleteConnections::~IncompleteConnections() { stop(); }
 
@@ -138,13 +139,12 @@
 }
 
 bool IncompleteConnections::receive(Connection& connection) {
-    std::array<char, kReadBytes> buffer;
-    ssize_t count =
-        ::recv(connection.socket.descriptor(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+    ssize_t count = ::recv(connection.socket.descriptor(), read_buffer_.data(), read_buffer_.size(),
+                           MSG_DONTWAIT);
     if (count < 0) {
         return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
     }
-    connection.reader.append({buffer.data(), static_cast<std::size_t>(count)});
+    connection.reader.append({read_buffer_.data(), static_cast<std::size_t>(count)});
     return count > 0;
 }
 
--- a/src/net/incomplete_connections.h
+++ b/src/net/incomplete_connections.h
@@ -79,6 +79,7 @@
     const CompleteHandler on_complete_;
     const DropHandler on_dropped_;
     Socket epoll_;
+    std::string read_buffer_; // used by the waiting thread alone
     std::mutex mutex_;
     Connections connections_; // the oldest first
     std::map<int, Connections::iterator> by_descriptor_;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -28,6 +28,11 @@
 constexpr int kSocketsPerExternalConnection = 2;
 constexpr int kSocketsPerPeerConnection = 8;
 constexpr double kHeartbeatsPerSample = 4;
+constexpr double kHeartbeatsPerWrite = 0.7;
+constexpr double kHeartbeatsPerIdleThread = 4;
+constexpr std::size_t kSocketsPerThread = 8;
+constexpr std::size_t kMinThreads = 16;
+constexpr std::size_t kMaxThreads = 96;
 constexpr std::size_t kBufferedBytesPerSocket = std::size_t{4} * 1024;
 
 // Runs work at once, on the thread that accepts connections: it only starts to wait for a request.
@@ -83,9 +88,10 @@
 class Server::Http : public httplib::Server {
   public:
     Http(const ServerLimits& limits, Routes routes, RequestLog& log)
-        : write_timeout_s_(limits.heartbeat_interval_s * 0.7),
-          pool_(std::clamp<std::size_t>(static_cast<std::size_t>(limits.max_sockets) / 8, 16, 96),
-                limits.heartbeat_interval_s * 4),
+        : write_timeout_s_(limits.heartbeat_interval_s * kHeartbeatsPerWrite),
+          pool_(std::clamp(static_cast<std::size_t>(limits.max_sockets) / kSocketsPerThread,
+                           kMinThreads, kMaxThreads),
+                limits.heartbeat_interval_s * kHeartbeatsPerIdleThread),
           connections_(
               connection_limits(limits, routes),
               [this](Socket socket, HttpRequest request) {
