--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -65,9 +65,10 @@
     net::EventLoop loop(
         controller, [&](const OutboundRequest& request) { clients.send(request); }, write_log);
     loop_pointer = &loop;
-    net::Server server(loop, {settings.max_sockets, settings.cluster.heartbeat_interval_s});
+    net::Server server(loop, {settings.max_sockets, settings.cluster.heartbeat_interval_s},
+                       net::Server::Routes::external, write_log);
     net::Server peer_server(loop, {settings.max_sockets, settings.cluster.heartbeat_interval_s},
-                            net::Server::Routes::peers);
+                            net::Server::Routes::peers, write_log);
     double bind_timeout_s = settings.cluster.heartbeat_interval_s;
     if (!server.bind_with_retries(settings.listen_host, settings.listen_port, bind_timeout_s) ||
         !peer_server.bind_with_retries(settings.peer_listen_host, settings.peer_listen_port,
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -8,6 +8,8 @@
 #include <cmath>
 #include <thread>
 
+#include "net/buffered_stream.h"
+#include "net/incomplete_connections.h"
 #include "net/thread_pool.h"
 #include "wire/codec.h"
 
@@ -16,43 +18,28 @@
 namespace {
 constexpr int kMaxPathBytes = 256;
 constexpr int kListenBacklog = 128;
-constexpr std::size_t kRejectionThreads = 4;
 constexpr double kBindAttempts = 300; // within the timeout of bind_with_retries
 
-// True while this thread serves a connection beyond the limit, which is rejected with status 503.
-thread_local bool rejecting = false;
+// What senders wait for a response: users for that to a submission, and other controllers.
+constexpr double kUserTimeout_s = 5;
+constexpr double kPeerTimeout_s = 4;
 
-// Passes accepted connections to a thread pool, and rejects those that the pool cannot take.
-class ConnectionQueue : public httplib::TaskQueue {
+// Shares of the process's sockets and memory. The rest is for outbound requests.
+constexpr int kSocketsPerExternalConnection = 2;
+constexpr int kSocketsPerPeerConnection = 8;
+constexpr double kHeartbeatsPerSample = 4;
+constexpr std::size_t kBufferedBytesPerSocket = std::size_t{4} * 1024;
+
+// Runs work at once, on the thread that accepts connections: it only starts to wait for a request.
+class AcceptedConnections : public httplib::TaskQueue {
   public:
-    ConnectionQueue(std::size_t max_threads, double idle_timeout_s)
-        : pool_(max_threads, idle_timeout_s), rejection_pool_(kRejectionThreads, idle_timeout_s) {}
-
-    // A connection that is dropped without a response would stay open and keep its client waiting.
-    // So connections beyond the pool's capacity are rejected by a second pool, and if that is full
-    // too, by the accepting thread. New connections then wait in the listen backlog, and the load
-    // balancer tries another controller.
-    void enqueue(std::function<void()> work) override {
-        if (pool_.enqueue(work)) {
-            return;
-        }
-        auto reject = [work = std::move(work)] {
-            rejecting = true;
-            work();
-            rejecting = false;
-        };
-        if (!rejection_pool_.enqueue(reject)) {
-            reject();
-        }
-    }
-    void shutdown() override {
-        pool_.stop();
-        rejection_pool_.stop();
-    }
+    explicit AcceptedConnections(std::function<void()> on_shutdown)
+        : on_shutdown_(std::move(on_shutdown)) {}
+    void enqueue(std::function<void()> work) override { work(); }
+    void shutdown() override { on_shutdown_(); }
 
   private:
-    ThreadPool pool_;
-    ThreadPool rejection_pool_;
+    std::function<void()> on_shutdown_;
 };
 
 void send_error(httplib::Response& res, int status, const std::string& reason,
@@ -76,35 +63,86 @@
     }
     res.set_content(wire::encode_response(response->body), wire::kContentType);
 }
-} // namespace
 
-// Wraps a handler so that connections beyond the limit get status 503. httplib has read the whole
-// request by then; closing the connection with unread data could discard the response.
-httplib::Server::Handler reject_if_overloaded(httplib::Server::Handler handler) {
-    return [handler = std::move(handler)](const httplib::Request& req, httplib::Response& res) {
-        if (rejecting) {
-            send_error(res, 503, "too many connections", 1);
-        } else {
-            handler(req, res);
-        }
-    };
+ConnectionLimits connection_limits(const ServerLimits& limits, Server::Routes routes) {
+    bool external = routes == Server::Routes::external;
+    ConnectionLimits connections;
+    connections.max_connections =
+        static_cast<std::size_t>(limits.max_sockets / (external ? kSocketsPerExternalConnection
+                                                                : kSocketsPerPeerConnection));
+    connections.max_buffered_bytes =
+        kBufferedBytesPerSocket * static_cast<std::size_t>(limits.max_sockets);
+    connections.max_body_bytes = wire::kMaxBodyBytes + 1; // one more shows that it is too large
+    connections.request_timeout_s = external ? kUserTimeout_s : kPeerTimeout_s;
+    return connections;
 }
+} // namespace
 
-// httplib listens with a backlog of 5, which is too short for bursts of connections.
+// Passes each connection to a waiting thread until its request is whole, and then to a thread pool,
+// where httplib routes the request and writes the response.
 class Server::Http : public httplib::Server {
   public:
+    Http(const ServerLimits& limits, Routes routes, RequestLog& log)
+        : write_timeout_s_(limits.heartbeat_interval_s * 0.7),
+          pool_(std::clamp<std::size_t>(static_cast<std::size_t>(limits.max_sockets) / 8, 16, 96),
+                limits.heartbeat_interval_s * 4),
+          connections_(
+              connection_limits(limits, routes),
+              [this](Socket socket, HttpRequest request) {
+                  enqueue(std::move(socket), std::move(request));
+              },
+              [&log](const DroppedRequest& request) { log.on_dropped(request); }) {
+        new_task_queue = [this] {
+            return new AcceptedConnections([this] {
+                connections_.stop();
+                pool_.stop();
+            });
+        };
+    }
+    // httplib listens with a backlog of 5, which is too short for bursts of connections.
     void extend_backlog() { ::listen(svr_sock_, kListenBacklog); }
-};
 
-Server::Server(EventLoop& loop, ServerLimits limits, Routes routes) : loop_(loop), http_(new Http) {
-    // An open connection occupies a thread, and httplib polls an idle connection a hundred times a
-    // second. That is too much CPU time with a connection for each worker and user, so a connection
-    // serves one request and is closed after the response.
-    std::size_t threads = std::clamp(limits.max_sockets / 8, 16, 96);
-    double idle_timeout_s = limits.heartbeat_interval_s * 4;
-    http_->new_task_queue = [threads, idle_timeout_s] {
-        return new ConnectionQueue(threads, idle_timeout_s);
+  private:
+    struct Call {
+        Socket socket;
+        HttpRequest request;
     };
+
+    bool process_and_close_socket(socket_t socket) override {
+        connections_.add(Socket(socket));
+        return true;
+    }
+    void enqueue(Socket socket, HttpRequest request) {
+        auto call = std::make_shared<Call>(Call{std::move(socket), std::move(request)});
+        if (!pool_.enqueue([this, call] { serve(*call); })) {
+            send_unavailable(call->socket);
+            call->socket = Socket();
+            connections_.on_served();
+        }
+    }
+    // Serves one request, after which the connection is closed: httplib would poll an idle
+    // connection a hundred times a second on a thread of its own.
+    void serve(Call& call) {
+        BufferedStream stream(call.socket.descriptor(), canonical_text(call.request),
+                              write_timeout_s_);
+        bool closed = false;
+        process_request(stream, true, closed, nullptr);
+        ::shutdown(call.socket.descriptor(), SHUT_RDWR);
+        call.socket = Socket();
+        connections_.on_served();
+    }
+
+    const double write_timeout_s_;
+    ThreadPool pool_;
+    IncompleteConnections connections_;
+};
+
+Server::Server(EventLoop& loop, ServerLimits limits, Routes routes, RequestLog::WriteLog log)
+    : loop_(loop), request_log_(
+                       routes == Routes::external ? "external" : "peers",
+                       limits.heartbeat_interval_s * kHeartbeatsPerSample,
+                       log ? std::move(log) : [](const LogLine&) {}),
+      http_(new Http(limits, routes, request_log_)) {
     // SO_REUSEADDR allows a restarted process to bind the port at once, but not while another
     // process listens on it. httplib sets SO_REUSEPORT by default, with which two processes would
     // share the port and each get some of the connections.
@@ -112,38 +150,42 @@
         int yes = 1;
         ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
     });
-    http_->set_keep_alive_max_count(1);
-    http_->set_keep_alive_timeout(std::max(1, static_cast<int>(limits.heartbeat_interval_s)));
-    http_->set_read_timeout(std::chrono::milliseconds(int(limits.heartbeat_interval_s * 700)));
-    http_->set_write_timeout(std::chrono::milliseconds(int(limits.heartbeat_interval_s * 700)));
     http_->set_tcp_nodelay(true);
     http_->set_payload_max_length(wire::kMaxBodyBytes);
     // Routes are regular expressions, and the matcher's recursion depth grows with the path length.
     http_->set_pre_routing_handler([](const httplib::Request& req, httplib::Response& res) {
+        if (req.method != "GET" && req.method != "HEAD" && req.method != "POST") {
+            send_error(res, 501, "no such method");
+            return httplib::Server::HandlerResponse::Handled;
+        }
         if (req.path.size() > kMaxPathBytes) {
             send_error(res, 404, "no such path");
             return httplib::Server::HandlerResponse::Handled;
         }
         return httplib::Server::HandlerResponse::Unhandled;
     });
-    http_->set_error_handler([](const httplib::Request&, httplib::Response& res) {
+    // httplib has been given the whole request, so this is its decision on a body over the limit.
+    http_->set_error_handler([this](const httplib::Request& req, httplib::Response& res) {
         if (res.status == 413) {
             send_error(res, 400, "body over 64 KiB");
+            count_refusal(req.path, 400, AnswerOrigin::http, "", "body over 64 KiB");
         }
     });
-    // Clients time out: users after 5 s for a submission and 2 s for a poll, workers after 4 s.
     double timeout_s = limits.heartbeat_interval_s;
     using Req = const httplib::Request&;
     using Res = httplib::Response&;
     // Registers a POST route that decodes the body and passes the message to the controller.
     auto post_route = [this](const std::string& path, auto submit) {
-        http_->Post(path, reject_if_overloaded([submit](Req req, Res res) {
-                        try {
-                            send_response(res, submit(req.body));
-                        } catch (const wire::MessageError& error) {
-                            send_error(res, 400, error.what());
-                        }
-                    }));
+        http_->Post(path, [this, submit](Req req, Res res) {
+            try {
+                std::optional<Response> response = submit(req.body);
+                send_response(res, response);
+                count_answer(req.path, res.status, response);
+            } catch (const wire::MessageError& error) {
+                send_error(res, 400, error.what());
+                count_refusal(req.path, 400, AnswerOrigin::codec, "", error.what());
+            }
+        });
     };
     if (routes == Routes::peers) {
         post_route(wire::kPeerSyncPath, [this, timeout_s](const std::string& body) {
@@ -171,15 +213,18 @@
         return loop_.submit(HeartbeatReceived{0, wire::parse_heartbeat(body)}, timeout_s);
     });
     // Wraps a handler of a path that contains a job id; an invalid id gets status 404.
-    auto job_route = [](auto submit) {
-        return reject_if_overloaded([submit](Req req, Res res) {
+    auto job_route = [this](auto submit) {
+        return [this, submit](Req req, Res res) {
             std::string id = req.matches[1];
             if (!wire::valid_job_id(id)) {
                 send_error(res, 404, "no such job");
+                count_refusal(req.path, 404, AnswerOrigin::http, "", "not a job id");
                 return;
             }
-            send_response(res, submit(id));
-        });
+            std::optional<Response> response = submit(id);
+            send_response(res, response);
+            count_answer(req.path, res.status, response);
+        };
     };
     http_->Get(R"(/work/([^/]+))", job_route([this, timeout_s](const std::string& id) {
                    return loop_.submit(PollJob{0, id}, timeout_s / 2);
@@ -187,9 +232,28 @@
     http_->Post(R"(/work/([^/]+)/withdraw)", job_route([this, timeout_s](const std::string& id) {
                     return loop_.submit(CancelJob{0, id}, timeout_s);
                 }));
-    http_->Get(wire::kReadyPath, reject_if_overloaded([this](Req, Res res) {
-                   send_response(res, loop_.submit(ReadinessProbe{0}, 1));
-               }));
+    http_->Get(wire::kReadyPath, [this](Req req, Res res) {
+        std::optional<Response> response = loop_.submit(ReadinessProbe{0}, 1);
+        send_response(res, response);
+        count_answer(req.path, res.status, response);
+    });
+}
+
+void Server::count_answer(const std::string& path, int status,
+                          const std::optional<Response>& response) {
+    RequestKind kind = request_kind(path);
+    request_log_.on_answer(kind, status, response ? AnswerOrigin::core : AnswerOrigin::http);
+    if (kind == RequestKind::submission && (status == 400 || status == 422)) {
+        const auto* text = std::get_if<TextBody>(&response->body);
+        request_log_.on_refusal(kind, status, AnswerOrigin::core, "", text ? text->text : "");
+    }
+}
+
+void Server::count_refusal(const std::string& path, int status, AnswerOrigin origin,
+                           const std::string& job, const std::string& reason) {
+    RequestKind kind = request_kind(path);
+    request_log_.on_answer(kind, status, origin);
+    request_log_.on_refusal(kind, status, origin, job, reason);
 }
 
 Server::~Server() = default;
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -5,19 +5,21 @@
 #include <string>
 
 #include "net/event_loop.h"
+#include "net/request_log.h"
 
 namespace scheduler::net {
 
 struct ServerLimits {
-    int max_sockets = 0;             // of the process; sets the number of threads
-    double heartbeat_interval_s = 0; // all timeouts are multiples of it
+    int max_sockets = 0;             // of the process; sets the numbers of threads and connections
+    double heartbeat_interval_s = 0; // within it the controller answers
 };
 
 class Server {
   public:
     // The paths to serve. external: users, workers and health checks; peers: other controllers.
     enum class Routes { external, peers };
-    Server(EventLoop& loop, ServerLimits limits, Routes routes = Routes::external);
+    Server(EventLoop& loop, ServerLimits limits, Routes routes = Routes::external,
+           RequestLog::WriteLog log = nullptr);
     ~Server();
     // Binds the listening socket; port 0 picks a free port. Returns false on failure.
     bool bind(const std::string& host, int port);
@@ -31,7 +33,12 @@
 
   private:
     class Http;
+    void count_answer(const std::string& path, int status, const std::optional<Response>& response);
+    void count_refusal(const std::string& path, int status, AnswerOrigin origin,
+                       const std::string& job, const std::string& reason);
+
     EventLoop& loop_;
+    RequestLog request_log_;
     std::unique_ptr<Http> http_;
     int port_ = 0;
 };
