--- a/review/harness-2/platform.h
+++ b/review/harness-2/platform.h
@@ -75,6 +75,7 @@
     double pull_gb = 0.1;
     std::string house; // empty: any
     bool cuttings = true;
+    bool one_zone = false, spread = false;
     double bloom_s = 20;
     double run_s = 20; // what a task takes in fact
     Value value() const {
@@ -91,8 +92,8 @@
                                 {"pull_gb", pull_gb},
                                 {"benches", Value()},
                                 {"house", house.empty() ? Value() : Value(house)},
-                                {"one_zone", false},
-                                {"spread", false},
+                                {"one_zone", one_zone},
+                                {"spread", spread},
                                 {"cuttings", cuttings},
                                 {"bloom_s", bloom_s},
                                 {"pot_s", 0.0},
@@ -166,9 +167,15 @@
         std::lock_guard lock(mutex_);
         return ran_twice_;
     }
+    std::vector<std::string> wrong_place() const {
+        std::lock_guard lock(mutex_);
+        return wrong_place_;
+    }
     // A task is on its machine: it has its image.
-    void task_on(const std::string& petal, const std::string& machine) {
+    void task_on(const std::string& petal, const std::string& machine, const std::string& zone, bool spot) {
         std::lock_guard lock(mutex_);
+        check_place(petal, machine, zone, spot);
+        zone_of_[machine] = zone;
         auto& machines = on_[petal];
         if (!machines.empty()) {
             ran_twice_.push_back(petal + " starts on " + machine + " while on " + *machines.begin());
@@ -192,6 +199,23 @@
     }
 
   private:
+    void check_place(const std::string& petal, const std::string& machine, const std::string& zone,
+                     bool spot) {
+        const JobSpec& job = jobs_.at(job_of(petal));
+        int in_zone = 1;
+        bool elsewhere = false;
+        for (auto it = on_.lower_bound(job.uid + "/"); it != on_.end() && job_of(it->first) == job.uid; ++it) {
+            for (const auto& other : it->second) {
+                in_zone += zone_of_[other] == zone;
+                elsewhere = elsewhere || zone_of_[other] != zone;
+            }
+        }
+        if ((!job.house.empty() && job.house != zone) || (spot && !job.cuttings) ||
+            (job.one_zone && elsewhere) || (job.spread && in_zone > (job.petals + 1) / 2)) {
+            wrong_place_.push_back(petal + " starts on " + machine + " in " + zone);
+            record.line("RULE wrong_place " + wrong_place_.back());
+        }
+    }
     void use(const std::string& petal, int tasks) {
         const JobSpec& job = jobs_.at(job_of(petal));
         double& used = cpus_[job.grower];
@@ -219,7 +243,8 @@
     std::set<std::string> completed_;
     std::map<std::string, std::size_t> starts_;
     std::map<std::string, double> cpus_, most_cpus_, over_since_, over_s_;
-    std::vector<std::string> ran_twice_;
+    std::map<std::string, std::string> zone_of_;
+    std::vector<std::string> ran_twice_, wrong_place_;
 };
 
 // ---- Limits on requests ----
@@ -530,6 +555,8 @@
         }).detach();
     }
     std::string address() const { return server_->address(); }
+    // The machine is cut off: nothing reaches it, and its reports reach nobody.
+    void set_cut(bool cut) { cut_ = cut; }
     // The machine and everything on it are gone.
     void end() {
         std::lock_guard lock(mutex_);
@@ -569,6 +596,10 @@
                                 {"petals", petals}});
     }
     Response serve(const Request& request) {
+        if (cut_) {
+            sleep_s(2); // longer than anybody waits
+            return {0, {}};
+        }
         std::lock_guard lock(mutex_);
         if (gone_) {
             return {0, {}};
@@ -685,7 +716,7 @@
             if (task.stage == "pulling" && now >= task.until) {
                 task.stage = "running";
                 task.until = world_.completed(key.first) ? now : now + task.job.run_s;
-                world_.task_on(key.first, name_);
+                world_.task_on(key.first, name_, zone_, spot_);
                 changed_ = true;
             }
             if (task.stage == "running" && now >= task.until) {
@@ -713,7 +744,12 @@
             double r = static_cast<double>(random_() % 1000) / 1000;
             last = now;
             due = now + world_.deployment.report_s * (0.75 + 0.5 * r);
-            Answer answer = call(controllers_[at_], "POST", "/v1/report", body, 4);
+            Answer answer;
+            if (cut_) {
+                sleep_s(4);
+            } else {
+                answer = call(controllers_[at_], "POST", "/v1/report", body, 4);
+            }
             std::lock_guard lock(mutex_);
             on_answer(answer, season, now);
             if (hold_until_ > now) {
@@ -759,7 +795,7 @@
     const std::vector<int> controllers_; // their ports
     std::mt19937_64 random_;
     std::mutex mutex_;
-    std::atomic<bool> gone_ = false;
+    std::atomic<bool> gone_ = false, cut_ = false;
     std::map<Key, Task> tasks_;
     std::map<std::string, double> images_; // when each is there
     std::uint64_t season_ = 1, tick_ = 0, token_ = 0;
@@ -784,6 +820,35 @@
         }).detach();
     }
     std::string address() const { return server_.address(); }
+    // Machines that run, by name.
+    std::vector<std::string> running() {
+        std::lock_guard lock(mutex_);
+        std::vector<std::string> names;
+        for (const auto& [name, machine] : machines_) {
+            if (machine.worker && machine.gone < 0) {
+                names.push_back(name);
+            }
+        }
+        return names;
+    }
+    void set_cut(const std::string& name, bool cut) {
+        std::lock_guard lock(mutex_);
+        if (auto& worker = machines_[name].worker) {
+            worker->set_cut(cut);
+            world_.record.line("machine " + name + (cut ? " is cut off" : " is back"));
+        }
+    }
+    // The machine stops with all that is on it; it stays listed as running for 30 s.
+    void die(const std::string& name) {
+        std::lock_guard lock(mutex_);
+        Machine& m = machines_[name];
+        if (m.worker && m.gone < 0) {
+            m.gone = now_s() + 30;
+            ++capacity_[{m.zone, m.spot}];
+            m.worker->end();
+            world_.record.line("machine " + name + " stops");
+        }
+    }
     std::size_t up() {
         std::lock_guard lock(mutex_);
         std::size_t count = 0;
@@ -899,7 +964,7 @@
     void boot() {
         std::lock_guard lock(mutex_);
         for (auto& [name, m] : machines_) {
-            if (m.gone < 0 && !m.worker && now_s() >= m.up) {
+            if (m.gone < 0 && !m.worker && now_s() >= m.up) { // once
                 m.worker = std::make_shared<Worker>(world_, name, m.zone, m.spot, controllers_);
                 m.worker->start(m.worker);
             }
@@ -959,6 +1024,8 @@
         std::filesystem::remove_all(folder_, ignored);
     }
     const std::vector<int>& ports() const { return ports_; }
+    // If set: the port at which a controller finds another one, instead of its own.
+    std::function<int(std::size_t from, std::size_t to, int port)> peer_proxy;
     // `state`: where each controller finds the state service.
     void write_settings(const std::vector<std::string>& state, const std::string& cloud) {
         for (std::size_t k = 0; k < ports_.size(); ++k) {
@@ -969,7 +1036,8 @@
             for (std::size_t j = 0; j < ports_.size(); ++j) {
                 if (j != k) {
                     out << "[[siblings]]\nnode = \"" << deployment_.nodes[j] << "\"\nzone = \""
-                        << deployment_.node_zones[j] << "\"\npeer_addr = \"127.0.0.1:" << back_ports_[j]
+                        << deployment_.node_zones[j] << "\"\npeer_addr = \"127.0.0.1:"
+                        << (peer_proxy ? peer_proxy(k, j, back_ports_[j]) : back_ports_[j])
                         << "\"\n";
                 }
             }
