--- a/review/harness-2/platform.h
+++ b/review/harness-2/platform.h
@@ -167,6 +167,34 @@
         std::lock_guard lock(mutex_);
         return ran_twice_;
     }
+    // ---- Gangs: the tasks of one attempt start together and end together ----
+    // A task has its image and waits for the others. Returns when the gang has started, or 0.
+    double gang_started(const std::string& petal, std::uint64_t sowing) {
+        std::lock_guard lock(mutex_);
+        Gang& gang = gangs_[{job_of(petal), sowing}];
+        gang.waiting.insert(petal);
+        if (gang.started == 0 &&
+            gang.waiting.size() == static_cast<std::size_t>(jobs_.at(job_of(petal)).petals)) {
+            gang.started = now_s();
+            record.line("gang " + job_of(petal) + " starts");
+        }
+        return gang.started;
+    }
+    // When the gang has lost a task after its start, or 0.
+    double gang_lost(const std::string& petal, std::uint64_t sowing) const {
+        std::lock_guard lock(mutex_);
+        auto it = gangs_.find({job_of(petal), sowing});
+        return it == gangs_.end() ? 0 : it->second.lost;
+    }
+    // A task of the gang is gone without having completed.
+    void gang_task_gone(const std::string& petal, std::uint64_t sowing) {
+        std::lock_guard lock(mutex_);
+        Gang& gang = gangs_[{job_of(petal), sowing}];
+        gang.waiting.erase(petal);
+        if (gang.started > 0 && gang.lost == 0) {
+            gang.lost = now_s();
+        }
+    }
     std::vector<std::string> wrong_place() const {
         std::lock_guard lock(mutex_);
         return wrong_place_;
@@ -243,6 +271,11 @@
     std::set<std::string> completed_;
     std::map<std::string, std::size_t> starts_;
     std::map<std::string, double> cpus_, most_cpus_, over_since_, over_s_;
+    struct Gang {
+        std::set<std::string> waiting;
+        double started = 0, lost = 0;
+    };
+    std::map<std::pair<std::string, std::uint64_t>, Gang> gangs_;
     std::map<std::string, std::string> zone_of_;
     std::vector<std::string> ran_twice_, wrong_place_;
 };
@@ -567,7 +600,7 @@
 
   private:
     struct Task {
-        std::string stage = "pulling"; // pulling, running, exited
+        std::string stage = "pulling"; // pulling, waiting, running, exited
         std::string why;
         double until = 0;
         JobSpec job;
@@ -681,18 +714,24 @@
         changed_ = true;
     }
     void exit(const Key& key, Task& task, const std::string& why) {
-        if (task.stage == "running") {
+        if (task.stage == "running" || task.stage == "waiting") {
             world_.task_off(key.first, name_, why == "done");
         }
+        if (task.job.habit == "ensemble" && why != "done") {
+            world_.gang_task_gone(key.first, key.second);
+        }
         task.stage = "exited";
         task.why = why;
         changed_ = true;
     }
     void drop_tasks() {
         for (auto& [key, task] : tasks_) {
-            if (task.stage == "running") {
+            if (task.stage == "running" || task.stage == "waiting") {
                 world_.task_off(key.first, name_, false);
             }
+            if (task.stage != "exited" && task.job.habit == "ensemble") {
+                world_.gang_task_gone(key.first, key.second);
+            }
         }
         tasks_.clear();
     }
@@ -713,12 +752,30 @@
             changed_ = true;
         }
         for (auto& [key, task] : tasks_) {
+            bool gang = task.job.habit == "ensemble";
             if (task.stage == "pulling" && now >= task.until) {
-                task.stage = "running";
-                task.until = world_.completed(key.first) ? now : now + task.job.run_s;
+                task.stage = gang ? "waiting" : "running";
+                task.until = gang                            ? now + world_.deployment.gang_wait_s
+                             : world_.completed(key.first)   ? now
+                             : task.job.habit == "standing" ? 1e18
+                                                            : now + task.job.run_s;
                 world_.task_on(key.first, name_, zone_, spot_);
                 changed_ = true;
             }
+            if (task.stage == "waiting") {
+                double started = world_.gang_started(key.first, key.second);
+                if (started > 0) {
+                    task.stage = "running";
+                    task.until = started + task.job.run_s;
+                    changed_ = true;
+                } else if (now >= task.until) {
+                    exit(key, task, "incomplete");
+                }
+            }
+            if (gang && task.stage == "running" && world_.gang_lost(key.first, key.second) > 0 &&
+                now >= world_.gang_lost(key.first, key.second) + world_.deployment.gang_peer_s / 2) {
+                exit(key, task, "mates_gone");
+            }
             if (task.stage == "running" && now >= task.until) {
                 exit(key, task, "done");
             }
@@ -849,6 +906,21 @@
             world_.record.line("machine " + name + " stops");
         }
     }
+    // How many machines run, by zone and kind.
+    std::string describe() {
+        std::lock_guard lock(mutex_);
+        std::map<std::string, int> counts;
+        for (const auto& [name, m] : machines_) {
+            if (m.worker && m.gone < 0) {
+                ++counts[m.zone + (m.spot ? " (spot)" : "")];
+            }
+        }
+        std::string text;
+        for (const auto& [kind, count] : counts) {
+            text += (text.empty() ? "" : ", ") + std::to_string(count) + " in " + kind;
+        }
+        return text;
+    }
     std::size_t up() {
         std::lock_guard lock(mutex_);
         std::size_t count = 0;
@@ -1051,7 +1123,14 @@
                 out << "[[facts.teams]]\nname = \"" << team.name << "\"\ncpus = " << real(team.cpus)
                     << "\ncpus_max = " << real(team.cpus_max) << "\ngpus = 0.0\ngpus_max = 0.0\n";
             }
-            out << "[[facts.objectives]]\nkind = \"guarantee\"\nwithin_s = 10.0\nshare = 0.9\n"
+            // Those of kmwsb-jalghar, as DEPLOY shows them.
+            objective(out, "finished", "tender-scan", 150, 0.93);
+            objective(out, "finished", "tender-scan", 350, 0.975);
+            objective(out, "wait", "vigilance-recheck", 25, 0.975);
+            objective(out, "wait", "vigilance-recheck", 50, 0.975);
+            objective(out, "finished", "vigilance-recheck", 120, 0.97);
+            out << "[[facts.objectives]]\nkind = \"deadline\"\nclass = \"thesis-compare\"\nshare = 0.9\n"
+                << "times = 1.0\n[[facts.objectives]]\nkind = \"guarantee\"\nwithin_s = 10.0\nshare = 0.9\n"
                 << "[facts.workers]\nreport_s = " << real(deployment_.report_s)
                 << "\nlease_s = " << real(deployment_.lease_s) << "\ngang_wait_s = "
                 << real(deployment_.gang_wait_s) << "\ngang_peer_s = " << real(deployment_.gang_peer_s)
@@ -1132,6 +1211,11 @@
     }
 
   private:
+    static void objective(std::ostream& out, const std::string& kind, const std::string& job_class,
+                          double within_s, double share) {
+        out << "[[facts.objectives]]\nkind = \"" << kind << "\"\nclass = \"" << job_class
+            << "\"\nwithin_s = " << real(within_s) << "\nshare = " << real(share) << "\n";
+    }
     static std::string real(double v) {
         std::ostringstream out;
         out << std::fixed << v;
