--- a/review/harness-2/http.h
+++ b/review/harness-2/http.h
@@ -252,16 +252,22 @@
     return answer;
 }
 
-// Returns a port that is free now, below those that the kernel gives to outgoing connections.
+// Returns a port that is free now and was not returned before, below those that the kernel gives to
+// outgoing connections. Called by one thread.
 inline int free_port() {
     static std::mt19937 random(std::random_device{}());
+    static std::set<int> returned;
     for (int tries = 0; tries < 1000; ++tries) {
         int port = 15000 + static_cast<int>(random() % 16000);
+        if (returned.contains(port)) {
+            continue;
+        }
         int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         sockaddr_in address = loopback(port);
         bool free = ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
         ::close(fd);
         if (free) {
+            returned.insert(port);
             return port;
         }
     }
